Add the design page, the build skeleton and the check scripts

Cause: nothing exists yet; later modules need agreed interfaces, a build and one check command. Ruled out: per-key consensus for claims and per-task slot requests (reasons in docs/design.md, sections 4 and 5). Before: no tests. Conclusion: modules can now be added independently of each other.

--- /dev/null
+++ b/cmake/dependencies.cmake
@@ -0,0 +1,19 @@
+# Libraries from Debian packages; scripts/install-packages lists them.
+find_package(Threads REQUIRED)
+find_package(OpenSSL REQUIRED COMPONENTS Crypto)
+find_package(ZLIB REQUIRED)
+find_package(Boost REQUIRED)
+find_package(nlohmann_json REQUIRED)
+find_package(doctest REQUIRED)
+include(doctest)
+
+find_library(EVENT_CORE_LIBRARY event_core REQUIRED)
+find_library(EVENT_EXTRA_LIBRARY event_extra REQUIRED)
+add_library(libevent INTERFACE)
+target_link_libraries(libevent INTERFACE ${EVENT_EXTRA_LIBRARY} ${EVENT_CORE_LIBRARY})
+
+# easylogging++ is distributed as one source file beside its header.
+find_file(EASYLOGGING_SOURCE easylogging++.cc PATHS /usr/include REQUIRED)
+add_library(easylogging STATIC ${EASYLOGGING_SOURCE})
+target_compile_definitions(easylogging PUBLIC ELPP_THREAD_SAFE ELPP_NO_DEFAULT_LOG_FILE)
+target_link_libraries(easylogging PUBLIC Threads::Threads)
--- /dev/null
+++ b/src/framework/core/error.h
@@ -0,0 +1,55 @@
+#ifndef SAPPHIREMOOR_FRAMEWORK_CORE_ERROR_H
+#define SAPPHIREMOOR_FRAMEWORK_CORE_ERROR_H
+
+#include <compare>
+#include <string>
+#include <string_view>
+
+namespace sapphiremoor {
+
+/// Kinds of errors that callers, operators and other VMs can tell apart.
+enum class ErrorKind {
+  BadRequest,
+  BadJson,
+  UnknownSetting,
+  Contradiction,
+  NoService,
+  OutOfRange,
+  MissingKey,
+  BadKey,
+  Conflict,
+  TooLarge,
+  UnknownService,
+  Unauthorized,
+  Forbidden,
+  Impossible,
+  Overloaded,
+  NotFound,
+  Draining,
+  Unreachable,
+  Timeout,
+  BadFrame,
+  CorruptData,
+  StorageFailure,
+  NotLeader,
+  Internal,
+};
+
+/// Returns the name of \p Kind as used in answers, for example "bad_json".
+std::string_view errorKindName(ErrorKind Kind);
+
+/// A typed error. The remedy tells the reader what to do next.
+struct Error {
+  ErrorKind Kind = ErrorKind::Internal;
+  std::string Message;
+  std::string Remedy;
+
+  auto operator<=>(const Error &) const = default;
+};
+
+/// Returns "kind: message (remedy)", for terminals and logs.
+std::string describe(const Error &Err);
+
+} // namespace sapphiremoor
+
+#endif // SAPPHIREMOOR_FRAMEWORK_CORE_ERROR_H
--- /dev/null
+++ b/src/framework/eventlog/event.h
@@ -0,0 +1,49 @@
+#ifndef SAPPHIREMOOR_FRAMEWORK_EVENTLOG_EVENT_H
+#define SAPPHIREMOOR_FRAMEWORK_EVENTLOG_EVENT_H
+
+#include <span>
+#include <string_view>
+
+namespace sapphiremoor {
+
+/// Severity of a log event.
+enum class Level { Info, Warning, Error };
+
+/// A numbered log event. docs/events.md catalogues each of them.
+struct Event {
+  int Number;
+  Level Severity;
+  std::string_view Name;
+};
+
+namespace events {
+inline constexpr Event Started{100, Level::Info, "started"};
+inline constexpr Event Stopping{101, Level::Info, "stopping"};
+inline constexpr Event Stopped{102, Level::Info, "stopped"};
+inline constexpr Event SettingsRejected{103, Level::Error, "settings_rejected"};
+inline constexpr Event PeerUp{200, Level::Info, "peer_up"};
+inline constexpr Event PeerDown{201, Level::Warning, "peer_down"};
+inline constexpr Event FrameRejected{202, Level::Warning, "frame_rejected"};
+inline constexpr Event DispatcherChanged{203, Level::Info,
+                                         "dispatcher_changed"};
+inline constexpr Event BackendJoined{300, Level::Info, "backend_joined"};
+inline constexpr Event BackendLeaving{301, Level::Info, "backend_leaving"};
+inline constexpr Event BackendExpired{302, Level::Warning, "backend_expired"};
+inline constexpr Event BackendEjected{303, Level::Warning, "backend_ejected"};
+inline constexpr Event JobDecided{400, Level::Info, "job_decided"};
+inline constexpr Event JobRefused{401, Level::Warning, "job_refused"};
+inline constexpr Event PrefixSealed{402, Level::Warning, "prefix_sealed"};
+inline constexpr Event RequestRejected{403, Level::Warning, "request_rejected"};
+inline constexpr Event LeaderElected{500, Level::Info, "leader_elected"};
+inline constexpr Event ChangeAccepted{501, Level::Info, "change_accepted"};
+inline constexpr Event ChangeInForce{502, Level::Info, "change_in_force"};
+inline constexpr Event StorageFailed{503, Level::Error, "storage_failed"};
+inline constexpr Event LogRecovered{504, Level::Info, "log_recovered"};
+} // namespace events
+
+/// All events, in the order of their numbers.
+std::span<const Event> allEvents();
+
+} // namespace sapphiremoor
+
+#endif // SAPPHIREMOOR_FRAMEWORK_EVENTLOG_EVENT_H
--- /dev/null
+++ b/src/framework/eventlog/internal/eventlog.cpp
@@ -0,0 +1,88 @@
+#include "framework/eventlog/eventlog.h"
+
+#include <easylogging++.h>
+#include <nlohmann/json.hpp>
+
+#include <array>
+
+INITIALIZE_EASYLOGGINGPP
+
+namespace sapphiremoor {
+
+namespace {
+
+LogIdentity &processIdentity() {
+  static LogIdentity Identity;
+  return Identity;
+}
+
+std::string_view levelName(Level Severity) {
+  switch (Severity) {
+  case Level::Info:
+    return "info";
+  case Level::Warning:
+    return "warning";
+  case Level::Error:
+    return "error";
+  }
+  return "error";
+}
+
+constexpr std::array AllEvents{
+    events::Started,        events::Stopping,
+    events::Stopped,        events::SettingsRejected,
+    events::PeerUp,         events::PeerDown,
+    events::FrameRejected,  events::DispatcherChanged,
+    events::BackendJoined,  events::BackendLeaving,
+    events::BackendExpired, events::BackendEjected,
+    events::JobDecided,     events::JobRefused,
+    events::PrefixSealed,   events::RequestRejected,
+    events::LeaderElected,  events::ChangeAccepted,
+    events::ChangeInForce,  events::StorageFailed,
+    events::LogRecovered};
+
+} // namespace
+
+std::span<const Event> allEvents() { return AllEvents; }
+
+void configureLog(const LogIdentity &Identity) {
+  processIdentity() = Identity;
+  el::Configurations Conf;
+  Conf.setToDefault();
+  Conf.setGlobally(el::ConfigurationType::Format,
+                   "%datetime{%Y-%M-%dT%H:%m:%s.%g} %msg");
+  Conf.setGlobally(el::ConfigurationType::ToFile, "false");
+  Conf.setGlobally(el::ConfigurationType::ToStandardOutput, "true");
+  el::Loggers::reconfigureLogger("default", Conf);
+}
+
+std::string formatEvent(const Event &What, const LogIdentity &Identity,
+                        const Fields &Values) {
+  nlohmann::ordered_json Line;
+  Line["event"] = What.Number;
+  Line["name"] = What.Name;
+  Line["level"] = levelName(What.Severity);
+  Line["vm"] = Identity.Vm;
+  Line["data_centre"] = Identity.DataCentre;
+  for (const auto &[Name, Value] : Values)
+    Line[Name] = Value;
+  return Line.dump(-1, ' ', false,
+                   nlohmann::ordered_json::error_handler_t::replace);
+}
+
+void logEvent(const Event &What, const Fields &Values) {
+  const std::string Line = formatEvent(What, processIdentity(), Values);
+  switch (What.Severity) {
+  case Level::Info:
+    LOG(INFO) << Line;
+    break;
+  case Level::Warning:
+    LOG(WARNING) << Line;
+    break;
+  case Level::Error:
+    LOG(ERROR) << Line;
+    break;
+  }
+}
+
+} // namespace sapphiremoor
