Add the net module: event loop, HTTP server, backend client, peer links

Cause: the daemon needs its sockets: callers and backend servers over evhttp, other VMs over authenticated TCP links. Ruled out: detecting a vanished client while its request is open (evhttp stops reading then, seen in a test that waited for ever); and libevent's inactivity timeout against slow-header clients (one byte per interval defeats it). Change: a guard per connection that limits the time from a request's first byte to its last and answers 408; a client pool with one request in flight per connection that tells 'not written' from 'unknown' and replaces a connection idle for over 2 s; links with a nonce handshake, sequence numbers and TCP_USER_TIMEOUT. Conclusion: a refused connect is known as not started; a silent server is never reported as not started.

--- /dev/null
+++ b/src/framework/net/backendclient.h
@@ -0,0 +1,56 @@
+#ifndef SAPPHIREMOOR_FRAMEWORK_NET_BACKENDCLIENT_H
+#define SAPPHIREMOOR_FRAMEWORK_NET_BACKENDCLIENT_H
+
+#include "framework/net/eventloop.h"
+#include "framework/net/httpcall.h"
+#include "framework/net/types/endpoint.h"
+
+#include <list>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace sapphiremoor {
+
+/// Limits of the client towards backend servers.
+struct BackendClientLimits {
+  Duration ConnectTimeout = std::chrono::milliseconds(300);
+  /// A connection that has carried no answer for longer may be dead without
+  /// notice, so it is replaced before a request is written to it.
+  Duration IdleConnection = std::chrono::seconds(2);
+};
+
+/// A pool of HTTP connections to backend servers with one request in flight on
+/// each, so that a late answer can never reach another request.
+class BackendClient {
+public:
+  BackendClient(EventLoop &Loop, const BackendClientLimits &Limits);
+  ~BackendClient();
+  BackendClient(const BackendClient &) = delete;
+  BackendClient &operator=(const BackendClient &) = delete;
+
+  /// Sends \p Request to \p To and calls \p Handler once with the result.
+  void send(const Endpoint &To, const HttpCallRequest &Request,
+            HttpCallHandler Handler);
+
+  /// Closes the idle connections to \p To.
+  void forget(const Endpoint &To);
+
+  /// Returns the number of connections opened so far.
+  uint64_t connectionsOpened() const { return Opened; }
+
+private:
+  std::unique_ptr<HttpConnection> takeConnection(const Endpoint &To);
+  void finish(std::list<std::unique_ptr<HttpConnection>>::iterator Used,
+              const HttpCallResult &Result);
+
+  EventLoop &Loop;
+  BackendClientLimits Limits;
+  uint64_t Opened = 0;
+  std::map<Endpoint, std::vector<std::unique_ptr<HttpConnection>>> Idle;
+  std::list<std::unique_ptr<HttpConnection>> Busy;
+};
+
+} // namespace sapphiremoor
+
+#endif // SAPPHIREMOOR_FRAMEWORK_NET_BACKENDCLIENT_H
--- /dev/null
+++ b/src/framework/net/eventloop.h
@@ -0,0 +1,65 @@
+#ifndef SAPPHIREMOOR_FRAMEWORK_NET_EVENTLOOP_H
+#define SAPPHIREMOOR_FRAMEWORK_NET_EVENTLOOP_H
+
+#include "framework/core/time.h"
+
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <vector>
+
+struct event;
+struct event_base;
+
+namespace sapphiremoor {
+
+/// The libevent loop of one task. All sockets and decision state of the task
+/// are touched only from run(); other threads hand work over with post().
+class EventLoop {
+public:
+  EventLoop();
+  ~EventLoop();
+  EventLoop(const EventLoop &) = delete;
+  EventLoop &operator=(const EventLoop &) = delete;
+
+  /// Runs until stop() is called.
+  void run();
+  /// Runs pending events once; waits for at least one if \p Wait is set.
+  void runOnce(bool Wait);
+  /// Ends run() after the current event.
+  void stop();
+
+  /// Reads the monotonic clock.
+  Instant now() const;
+
+  /// Runs \p Work in the loop. May be called from any thread.
+  void post(std::function<void()> Work);
+
+  /// Calls \p Handler in the loop on each arrival of signal \p Number.
+  void onSignal(int Number, std::function<void()> Handler);
+
+  event_base *base() const { return Base.get(); }
+
+private:
+  struct Signal;
+  static void runPosted(int Fd, short What, void *Self);
+  static void runSignal(int Number, short What, void *Handler);
+
+  struct BaseDeleter {
+    void operator()(event_base *Pointer) const;
+  };
+  struct EventDeleter {
+    void operator()(event *Pointer) const;
+  };
+
+  std::unique_ptr<event_base, BaseDeleter> Base;
+  int WakeFd = -1;
+  std::unique_ptr<event, EventDeleter> WakeEvent;
+  std::mutex PostedMutex;
+  std::vector<std::function<void()>> Posted;
+  std::vector<std::unique_ptr<Signal>> Signals;
+};
+
+} // namespace sapphiremoor
+
+#endif // SAPPHIREMOOR_FRAMEWORK_NET_EVENTLOOP_H
--- /dev/null
+++ b/src/framework/net/httpserver.h
@@ -0,0 +1,90 @@
+#ifndef SAPPHIREMOOR_FRAMEWORK_NET_HTTPSERVER_H
+#define SAPPHIREMOOR_FRAMEWORK_NET_HTTPSERVER_H
+
+#include "framework/core/result.h"
+#include "framework/net/eventloop.h"
+#include "framework/net/timer.h"
+#include "framework/net/types/endpoint.h"
+#include "framework/net/types/httpmessage.h"
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <unordered_map>
+
+struct bufferevent;
+struct evhttp;
+struct evhttp_bound_socket;
+struct evhttp_request;
+
+namespace sapphiremoor {
+
+/// Limits on what a client may send.
+struct HttpLimits {
+  std::size_t HeaderBytes = std::size_t{16} << 10;
+  std::size_t BodyBytes = std::size_t{8} << 20;
+  /// Time from the first byte of a request to its last; closes clients that
+  /// send their headers slowly.
+  Duration RequestTimeout = std::chrono::seconds(5);
+  /// Time that a connection may stay open without a request.
+  Duration IdleTimeout = std::chrono::seconds(120);
+};
+
+/// Sends the response to one request, at once or later. A response to a client
+/// that has gone away is dropped. Copies refer to the same request.
+class Responder {
+public:
+  struct State;
+  explicit Responder(std::shared_ptr<State> Shared);
+  void respond(const HttpResponse &Response) const;
+  /// Returns true until the response is sent. evhttp does not read from a
+  /// connection while a request is open, so a client that has gone away is
+  /// noticed only when the response is written.
+  bool open() const;
+
+private:
+  std::shared_ptr<State> Shared;
+};
+
+/// An HTTP/1.1 server on evhttp.
+class HttpServer {
+public:
+  using Handler = std::function<void(HttpRequest, Responder)>;
+
+  HttpServer(EventLoop &Loop, const HttpLimits &Limits, Handler OnRequest);
+  ~HttpServer();
+  HttpServer(const HttpServer &) = delete;
+  HttpServer &operator=(const HttpServer &) = delete;
+
+  /// Binds to \p At. Port 0 takes a free port. Returns the bound port.
+  Result<uint16_t> listen(const Endpoint &At);
+
+  /// Stops accepting connections; open requests can still be answered.
+  void stopListening();
+
+  /// Returns the number of requests that await their response.
+  std::size_t openRequests() const;
+
+  struct Shared;
+
+private:
+  struct Guard;
+  static bufferevent *createConnection(event_base *Base, void *Self);
+  static void handle(evhttp_request *Request, void *Self);
+  void dispatch(evhttp_request *Request);
+  void markComplete(evhttp_request *Request);
+  void sweepConnections();
+
+  EventLoop &Loop;
+  HttpLimits Limits;
+  Handler OnRequest;
+  evhttp *Http;
+  evhttp_bound_socket *Bound = nullptr;
+  std::shared_ptr<Shared> Common;
+  std::unordered_map<bufferevent *, std::unique_ptr<Guard>> Guards;
+  Timer Sweep;
+};
+
+} // namespace sapphiremoor
+
+#endif // SAPPHIREMOOR_FRAMEWORK_NET_HTTPSERVER_H
--- /dev/null
+++ b/src/framework/net/internal/peerlink.cpp
@@ -0,0 +1,140 @@
+#include "framework/net/internal/peerlink.h"
+
+#include "framework/codec/serial.h"
+#include "framework/core/random.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+
+#include <algorithm>
+
+namespace sapphiremoor::detail {
+
+namespace {
+
+Error linkClosed() {
+  return {ErrorKind::Unreachable, "the connection was closed",
+          "check the other VM and the network"};
+}
+
+} // namespace
+
+PeerLink::PeerLink(Role Side, bufferevent *Connection, const VmId &Self,
+                   const std::string &ClusterKey, Callbacks Calls)
+    : Side(Side), Connection(Connection), Self(Self), ClusterKey(ClusterKey),
+      Calls(std::move(Calls)), Own{Self, secureRandom64()},
+      ReceiveSecret(Side == Role::Accepted ? helloSecret(ClusterKey)
+                                           : welcomeSecret(ClusterKey, Own)) {
+  bufferevent_setcb(Connection, onReadable, nullptr, onEvent, this);
+  bufferevent_enable(Connection, EV_READ | EV_WRITE);
+}
+
+PeerLink::~PeerLink() { bufferevent_free(Connection); }
+
+bool PeerLink::send(std::string_view Payload) {
+  if (!Open || Closed || Payload.size() > MaxFrameBytes)
+    return false;
+  const std::string Bytes =
+      buildFrame(FrameType::Message, SendSequence++, Payload, SendSecret);
+  return bufferevent_write(Connection, Bytes.data(), Bytes.size()) == 0;
+}
+
+std::size_t PeerLink::pendingBytes() const {
+  return evbuffer_get_length(bufferevent_get_output(Connection));
+}
+
+void PeerLink::onReadable(bufferevent *, void *Self) {
+  static_cast<PeerLink *>(Self)->readFrames();
+}
+
+void PeerLink::onEvent(bufferevent *, short What, void *Self) {
+  auto &Link = *static_cast<PeerLink *>(Self);
+  if ((What & BEV_EVENT_CONNECTED) != 0)
+    Link.sendGreeting(FrameType::Hello, helloSecret(Link.ClusterKey));
+  else
+    Link.close(linkClosed());
+}
+
+void PeerLink::sendGreeting(FrameType Type, const std::string &Secret) {
+  const std::string Bytes = buildFrame(Type, 0, encode(Own), Secret);
+  bufferevent_write(Connection, Bytes.data(), Bytes.size());
+}
+
+void PeerLink::readFrames() {
+  evbuffer *Input = bufferevent_get_input(Connection);
+  while (!Closed) {
+    const std::size_t Length = evbuffer_get_length(Input);
+    const std::size_t Limit = Open ? MaxFrameBytes : MaxHelloBytes;
+    // Linearizes the bytes of one frame at most.
+    const std::size_t Wanted = std::min(Length, FrameHeaderBytes + Limit);
+    const auto *Data = reinterpret_cast<const char *>(
+        evbuffer_pullup(Input, static_cast<ev_ssize_t>(Wanted)));
+    if (Data == nullptr)
+      return;
+    const auto R =
+        readFrame({Data, Wanted}, ReceiveSequence, ReceiveSecret, Limit);
+    if (isError(R)) {
+      close(errorOf(R));
+      return;
+    }
+    if (!valueOf(R).has_value())
+      return;
+    const std::size_t Used = valueOf(R)->TotalBytes;
+    const Result<Done> Handled = handleFrame(*valueOf(R));
+    if (isError(Handled)) {
+      close(errorOf(Handled));
+      return;
+    }
+    evbuffer_drain(Input, Used);
+  }
+}
+
+Result<Done> PeerLink::handleFrame(const Frame &Received) {
+  if (Open) {
+    if (Received.Type != FrameType::Message || Side == Role::Dialled)
+      return Error{ErrorKind::BadFrame, "unexpected frame on an open link",
+                   "check that all VMs run the same version"};
+    ++ReceiveSequence;
+    Calls.Message(*this, Received.Payload);
+    return Done{};
+  }
+  const FrameType Expected =
+      Side == Role::Accepted ? FrameType::Hello : FrameType::Welcome;
+  if (Received.Type != Expected)
+    return Error{ErrorKind::BadFrame, "unexpected frame before the greeting",
+                 "check that all VMs run the same version"};
+  const Result<Greeting> Decoded = decode<Greeting>(Received.Payload);
+  if (isError(Decoded))
+    return errorOf(Decoded);
+  return Side == Role::Accepted ? acceptHello(valueOf(Decoded))
+                                : acceptWelcome(valueOf(Decoded));
+}
+
+Result<Done> PeerLink::acceptHello(const Greeting &Hello) {
+  Remote = Hello.Sender;
+  sendGreeting(FrameType::Welcome, welcomeSecret(ClusterKey, Hello));
+  ReceiveSecret = sessionSecret(ClusterKey, Hello, Own);
+  Open = true;
+  Calls.Opened(*this);
+  return Done{};
+}
+
+Result<Done> PeerLink::acceptWelcome(const Greeting &Welcome) {
+  Remote = Welcome.Sender;
+  SendSecret = sessionSecret(ClusterKey, Own, Welcome);
+  Open = true;
+  Calls.Opened(*this);
+  return Done{};
+}
+
+void PeerLink::close(const Error &Reason) {
+  if (Closed)
+    return;
+  Closed = true;
+  Open = false;
+  bufferevent_disable(Connection, EV_READ | EV_WRITE);
+  Calls.Closed(*this, Reason);
+}
+
+} // namespace sapphiremoor::detail
--- /dev/null
+++ b/src/framework/net/internal/peerlink.h
@@ -0,0 +1,77 @@
+#ifndef SAPPHIREMOOR_FRAMEWORK_NET_INTERNAL_PEERLINK_H
+#define SAPPHIREMOOR_FRAMEWORK_NET_INTERNAL_PEERLINK_H
+
+#include "framework/codec/frame.h"
+#include "framework/core/result.h"
+#include "framework/core/time.h"
+#include "framework/core/types/vmid.h"
+#include "framework/net/internal/handshake.h"
+
+#include <functional>
+#include <string>
+#include <string_view>
+
+struct bufferevent;
+
+namespace sapphiremoor::detail {
+
+/// One TCP connection between two VMs. The side that dialled sends messages,
+/// the side that accepted receives them.
+class PeerLink {
+public:
+  enum class Role { Dialled, Accepted };
+
+  struct Callbacks {
+    std::function<void(PeerLink &)> Opened;
+    std::function<void(PeerLink &, std::string_view)> Message;
+    /// The link is unusable; the owner destroys it, but not in the callback.
+    std::function<void(PeerLink &, const Error &)> Closed;
+  };
+
+  /// Takes ownership of \p Connection.
+  PeerLink(Role Side, bufferevent *Connection, const VmId &Self,
+           const std::string &ClusterKey, Callbacks Calls);
+  ~PeerLink();
+  PeerLink(const PeerLink &) = delete;
+  PeerLink &operator=(const PeerLink &) = delete;
+
+  /// Sends one message. Returns false if the link is not open.
+  bool send(std::string_view Payload);
+
+  bool open() const { return Open; }
+  /// The VM at the other end; valid once the link is open.
+  const VmId &remote() const { return Remote; }
+  Role side() const { return Side; }
+  /// Bytes that wait to be written.
+  std::size_t pendingBytes() const;
+  /// Time of opening or of the last received message, kept by the owner.
+  Instant LastHeard;
+
+private:
+  static void onReadable(bufferevent *Connection, void *Self);
+  static void onEvent(bufferevent *Connection, short What, void *Self);
+  void sendGreeting(FrameType Type, const std::string &Secret);
+  void readFrames();
+  Result<Done> handleFrame(const Frame &Received);
+  Result<Done> acceptHello(const Greeting &Hello);
+  Result<Done> acceptWelcome(const Greeting &Welcome);
+  void close(const Error &Reason);
+
+  Role Side;
+  bufferevent *Connection;
+  VmId Self;
+  std::string ClusterKey;
+  Callbacks Calls;
+  Greeting Own;
+  VmId Remote;
+  bool Open = false;
+  bool Closed = false;
+  std::string ReceiveSecret;
+  std::string SendSecret;
+  uint64_t ReceiveSequence = 0;
+  uint64_t SendSequence = 0;
+};
+
+} // namespace sapphiremoor::detail
+
+#endif // SAPPHIREMOOR_FRAMEWORK_NET_INTERNAL_PEERLINK_H
--- /dev/null
+++ b/src/framework/net/peernetwork.h
@@ -0,0 +1,95 @@
+#ifndef SAPPHIREMOOR_FRAMEWORK_NET_PEERNETWORK_H
+#define SAPPHIREMOOR_FRAMEWORK_NET_PEERNETWORK_H
+
+#include "framework/core/result.h"
+#include "framework/core/types/vmid.h"
+#include "framework/net/eventloop.h"
+#include "framework/net/timer.h"
+#include "framework/net/types/endpoint.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+struct evconnlistener;
+struct sockaddr;
+
+namespace sapphiremoor {
+
+namespace detail {
+class PeerLink;
+} // namespace detail
+
+/// Limits of the links between VMs.
+struct PeerLimits {
+  /// A peer that sent nothing for this time is down.
+  Duration SilentLimit = std::chrono::seconds(3);
+  Duration RetryDelay = std::chrono::milliseconds(250);
+  /// A link with more unsent bytes is closed.
+  std::size_t PendingBytes = std::size_t{64} << 20;
+};
+
+/// What the owner of a PeerNetwork is told.
+struct PeerCallbacks {
+  std::function<void(const VmId &, std::string_view)> Message;
+  /// Messages of this VM reach the peer and its messages arrive.
+  std::function<void(const VmId &)> Up;
+  std::function<void(const VmId &)> Down;
+  std::function<void(const std::string &, const Error &)> Rejected;
+};
+
+/// Authenticated links to all other VMs, one TCP connection in each direction.
+/// A message is delivered at most once; it is lost if the link breaks.
+class PeerNetwork {
+public:
+  PeerNetwork(EventLoop &Loop, VmId Self, std::string ClusterKey,
+              const PeerLimits &Limits, PeerCallbacks Calls);
+  ~PeerNetwork();
+  PeerNetwork(const PeerNetwork &) = delete;
+  PeerNetwork &operator=(const PeerNetwork &) = delete;
+
+  /// Accepts links at \p At. Returns the bound port.
+  Result<uint16_t> listen(const Endpoint &At);
+
+  /// Dials the VM \p Name at \p At, again after each loss of the link.
+  void addPeer(const std::string &Name, const Endpoint &At);
+
+  /// Sends \p Payload to \p Name. Returns false if there is no open link.
+  bool send(const std::string &Name, std::string_view Payload);
+
+  /// Returns the incarnation of \p Name that is up, if any.
+  std::optional<VmId> reachable(const std::string &Name) const;
+
+  uint64_t bytesSent() const { return BytesSent; }
+  uint64_t bytesReceived() const { return BytesReceived; }
+
+private:
+  struct Peer;
+  static void onAccept(evconnlistener *, int Fd, sockaddr *, int, void *Self);
+  void accept(int Fd);
+  void dial(Peer &To);
+  void linkClosed(detail::PeerLink &Link, const Error &Reason);
+  void received(detail::PeerLink &Link, std::string_view Payload);
+  void refresh(Peer &Changed);
+  void checkSilence();
+
+  EventLoop &Loop;
+  VmId Self;
+  std::string ClusterKey;
+  PeerLimits Limits;
+  PeerCallbacks Calls;
+  evconnlistener *Listener = nullptr;
+  std::map<std::string, std::unique_ptr<Peer>> Peers;
+  std::vector<std::unique_ptr<detail::PeerLink>> Accepted;
+  Timer SilenceCheck;
+  uint64_t BytesSent = 0;
+  uint64_t BytesReceived = 0;
+};
+
+} // namespace sapphiremoor
+
+#endif // SAPPHIREMOOR_FRAMEWORK_NET_PEERNETWORK_H
--- /dev/null
+++ b/src/framework/net/tests/backendclient_test.cpp
@@ -0,0 +1,92 @@
+#include "framework/net/backendclient.h"
+#include "framework/net/httpserver.h"
+
+#include <doctest/doctest.h>
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <optional>
+
+using namespace sapphiremoor;
+
+namespace {
+
+HttpCallResult call(EventLoop &Loop, BackendClient &Client, uint16_t Port,
+                    const std::string &Path, Duration Timeout) {
+  std::optional<HttpCallResult> Result;
+  HttpCallRequest Request;
+  Request.Path = Path;
+  Request.Timeout = Timeout;
+  Client.send({"127.0.0.1", Port}, Request,
+              [&](HttpCallResult R) { Result = std::move(R); });
+  while (!Result.has_value())
+    Loop.runOnce(true);
+  return *Result;
+}
+
+/// Returns a bound local socket that does not accept connections.
+int boundSocket(uint16_t &Port) {
+  const int Fd = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in Address{};
+  Address.sin_family = AF_INET;
+  Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  REQUIRE(bind(Fd, reinterpret_cast<sockaddr *>(&Address), sizeof(Address)) ==
+          0);
+  socklen_t Size = sizeof(Address);
+  getsockname(Fd, reinterpret_cast<sockaddr *>(&Address), &Size);
+  Port = ntohs(Address.sin_port);
+  return Fd;
+}
+
+constexpr Duration LongTimeout = std::chrono::seconds(30);
+
+} // namespace
+
+TEST_CASE("a refused connect is known as not written") {
+  EventLoop Loop;
+  BackendClient Client(Loop, {});
+  uint16_t Port = 0;
+  const int Fd = boundSocket(Port);
+  CHECK(call(Loop, Client, Port, "/run/x", LongTimeout).Status ==
+        HttpCallStatus::NotWritten);
+  close(Fd);
+}
+
+TEST_CASE("a silent server leaves the outcome unknown, never not written") {
+  EventLoop Loop;
+  std::vector<Responder> Held;
+  HttpServer Server(Loop, {}, [&](const HttpRequest &, const Responder &R) {
+    Held.push_back(R);
+  });
+  const uint16_t Port = valueOf(Server.listen({"127.0.0.1", 0}));
+  BackendClient Client(Loop, {});
+  CHECK(call(Loop, Client, Port, "/run/x", std::chrono::milliseconds(50))
+            .Status == HttpCallStatus::Unknown);
+  while (Held.empty())
+    Loop.runOnce(true);
+  Held[0].respond({200, "late", "text/plain"});
+  // The late answer must not reach the next request.
+  CHECK(call(Loop, Client, Port, "/run/y", std::chrono::milliseconds(50))
+            .Status == HttpCallStatus::Unknown);
+}
+
+TEST_CASE("a connection idle beyond the limit is replaced before a send") {
+  EventLoop Loop;
+  HttpServer Server(Loop, {}, [&](const HttpRequest &, const Responder &R) {
+    R.respond({});
+  });
+  const uint16_t Port = valueOf(Server.listen({"127.0.0.1", 0}));
+  BackendClientLimits Limits;
+  Limits.IdleConnection = LongTimeout;
+  BackendClient Reusing(Loop, Limits);
+  call(Loop, Reusing, Port, "/", LongTimeout);
+  call(Loop, Reusing, Port, "/", LongTimeout);
+  CHECK(Reusing.connectionsOpened() == 1);
+  Limits.IdleConnection = Duration(-1);
+  BackendClient Replacing(Loop, Limits);
+  call(Loop, Replacing, Port, "/", LongTimeout);
+  call(Loop, Replacing, Port, "/", LongTimeout);
+  CHECK(Replacing.connectionsOpened() == 2);
+}
--- /dev/null
+++ b/src/framework/net/tests/httpserver_test.cpp
@@ -0,0 +1,155 @@
+#include "framework/net/backendclient.h"
+#include "framework/net/httpserver.h"
+
+#include <doctest/doctest.h>
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <optional>
+
+using namespace sapphiremoor;
+
+namespace {
+
+/// Opens a blocking connection to a local port and sends \p Bytes.
+int connectAndSend(uint16_t Port, const std::string &Bytes) {
+  const int Fd = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in Address{};
+  Address.sin_family = AF_INET;
+  Address.sin_port = htons(Port);
+  inet_pton(AF_INET, "127.0.0.1", &Address.sin_addr);
+  REQUIRE(connect(Fd, reinterpret_cast<sockaddr *>(&Address),
+                  sizeof(Address)) == 0);
+  REQUIRE(send(Fd, Bytes.data(), Bytes.size(), 0) ==
+          static_cast<ssize_t>(Bytes.size()));
+  return Fd;
+}
+
+/// Runs the loop until the peer closes \p Fd; returns what it sent.
+std::string readUntilClosed(EventLoop &Loop, int Fd) {
+  std::string Received;
+  for (;;) {
+    char Buffer[4096];
+    const ssize_t Count = recv(Fd, Buffer, sizeof(Buffer), MSG_DONTWAIT);
+    if (Count > 0)
+      Received.append(Buffer, static_cast<std::size_t>(Count));
+    else if (Count == 0)
+      break;
+    else
+      Loop.runOnce(true);
+  }
+  close(Fd);
+  return Received;
+}
+
+HttpCallResult callAndWait(EventLoop &Loop, BackendClient &Client,
+                           uint16_t Port, const HttpCallRequest &Request) {
+  std::optional<HttpCallResult> Result;
+  Client.send({"127.0.0.1", Port}, Request,
+              [&](HttpCallResult R) { Result = std::move(R); });
+  while (!Result.has_value())
+    Loop.runOnce(true);
+  return *Result;
+}
+
+} // namespace
+
+TEST_CASE("a request reaches the handler whole and is answered later") {
+  EventLoop Loop;
+  std::optional<HttpRequest> Seen;
+  HttpServer Server(Loop, {}, [&](HttpRequest Request, Responder Answer) {
+    Seen = std::move(Request);
+    Loop.post([Answer] { Answer.respond({201, "{}", "application/json"}); });
+  });
+  const uint16_t Port = valueOf(Server.listen({"127.0.0.1", 0}));
+  BackendClient Client(Loop, {});
+  HttpCallRequest Request;
+  Request.Path = "/v1/jobs/k?wait_ms=5&x=a%20b";
+  Request.Headers = {{"Authorization", "Bearer secret"}};
+  Request.Body = "body";
+  const HttpCallResult Result = callAndWait(Loop, Client, Port, Request);
+  CHECK(Result.Status == HttpCallStatus::Answered);
+  CHECK(Result.Code == 201);
+  CHECK(Seen->Method == HttpMethod::Post);
+  CHECK(Seen->Path == "/v1/jobs/k");
+  CHECK(Seen->Query.at("wait_ms") == "5");
+  CHECK(Seen->Query.at("x") == "a b");
+  CHECK(Seen->Token == "secret");
+  CHECK(Seen->Body == "body");
+  CHECK(Server.openRequests() == 0);
+}
+
+TEST_CASE("an answer to a client that has gone away is dropped safely") {
+  EventLoop Loop;
+  std::vector<Responder> Held;
+  HttpServer Server(Loop, {}, [&](const HttpRequest &, const Responder &R) {
+    Held.push_back(R);
+  });
+  const uint16_t Port = valueOf(Server.listen({"127.0.0.1", 0}));
+  const std::string Text = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
+  const int Gone = connectAndSend(Port, Text);
+  while (Held.empty())
+    Loop.runOnce(true);
+  close(Gone);
+  // Larger than the socket buffers, so that the failed write is noticed.
+  Held[0].respond({200, std::string(8 << 20, 'x'), "text/plain"});
+  const int Next = connectAndSend(Port, Text);
+  while (Held.size() < 2)
+    Loop.runOnce(true);
+  Held[1].respond({200, "x", "text/plain"});
+  CHECK(Server.openRequests() == 0);
+  close(Next);
+}
+
+TEST_CASE("a slow-header client gets 408 with a remedy and is closed") {
+  EventLoop Loop;
+  HttpLimits Limits;
+  Limits.RequestTimeout = std::chrono::milliseconds(50);
+  HttpServer Server(Loop, Limits, [](const HttpRequest &, const Responder &) {
+    FAIL("an incomplete request must not be handled");
+  });
+  const uint16_t Port = valueOf(Server.listen({"127.0.0.1", 0}));
+  const int Fd = connectAndSend(Port, "GET / HTTP/1.1\r\nHo");
+  const std::string Answer = readUntilClosed(Loop, Fd);
+  CHECK(Answer.starts_with("HTTP/1.1 408"));
+  CHECK(Answer.find("header_timeout_ms") != std::string::npos);
+}
+
+TEST_CASE("too large a header or body is refused and the server goes on") {
+  EventLoop Loop;
+  HttpLimits Limits;
+  Limits.HeaderBytes = 1000;
+  Limits.BodyBytes = 1000;
+  int Handled = 0;
+  HttpServer Server(Loop, Limits,
+                    [&](const HttpRequest &, const Responder &Answer) {
+                      ++Handled;
+                      Answer.respond({});
+                    });
+  const uint16_t Port = valueOf(Server.listen({"127.0.0.1", 0}));
+  BackendClient Client(Loop, {});
+  HttpCallRequest Large;
+  Large.Path = "/";
+  Large.Body = std::string(5000, 'x');
+  CHECK(callAndWait(Loop, Client, Port, Large).Code == 413);
+  HttpCallRequest LongHeader;
+  LongHeader.Path = "/";
+  LongHeader.Headers = {{"X-Long", std::string(5000, 'x')}};
+  CHECK(callAndWait(Loop, Client, Port, LongHeader).Code != 200);
+  CHECK(Handled == 0);
+  HttpCallRequest Small;
+  Small.Path = "/";
+  CHECK(callAndWait(Loop, Client, Port, Small).Code == 200);
+}
+
+TEST_CASE("a handler that drops the responder still answers 500") {
+  EventLoop Loop;
+  HttpServer Server(Loop, {}, [](const HttpRequest &, const Responder &) {});
+  const uint16_t Port = valueOf(Server.listen({"127.0.0.1", 0}));
+  BackendClient Client(Loop, {});
+  HttpCallRequest Request;
+  Request.Path = "/";
+  CHECK(callAndWait(Loop, Client, Port, Request).Code == 500);
+}
--- /dev/null
+++ b/src/framework/net/types/endpoint.h
@@ -0,0 +1,27 @@
+#ifndef SAPPHIREMOOR_FRAMEWORK_NET_TYPES_ENDPOINT_H
+#define SAPPHIREMOOR_FRAMEWORK_NET_TYPES_ENDPOINT_H
+
+#include <compare>
+#include <cstdint>
+#include <string>
+
+namespace sapphiremoor {
+
+/// A numeric IP address and a TCP port.
+struct Endpoint {
+  std::string Address;
+  uint16_t Port = 0;
+
+  auto operator<=>(const Endpoint &) const = default;
+
+  template <typename Archive> void serialize(Archive &Ar) { Ar(Address, Port); }
+};
+
+/// Returns "address:port".
+inline std::string describe(const Endpoint &At) {
+  return At.Address + ":" + std::to_string(At.Port);
+}
+
+} // namespace sapphiremoor
+
+#endif // SAPPHIREMOOR_FRAMEWORK_NET_TYPES_ENDPOINT_H
