Add the gateway module: routes, job bodies, answers, tokens

Cause: callers, operators and backend servers need one checked HTTP interface with typed errors. Ruled out: results inside a failed answer, because a partial list could be taken for the whole. Change: routing to typed commands with the role each needs, job parsing with limits, answers with outcome and retry, tokens kept only as digests. Conclusion: every malformed request in the tests gets a kind and a remedy.

--- /dev/null
+++ b/src/gateway/route.h
@@ -0,0 +1,19 @@
+#ifndef SAPPHIREMOOR_GATEWAY_ROUTE_H
+#define SAPPHIREMOOR_GATEWAY_ROUTE_H
+
+#include "framework/core/result.h"
+#include "framework/net/types/httpmessage.h"
+#include "gateway/types/command.h"
+
+namespace sapphiremoor {
+
+/// Turns path, method and query into a command. Errors: NotFound, MissingKey,
+/// BadRequest, OutOfRange.
+Result<Command> routeRequest(const HttpRequest &Request);
+
+/// Returns the role that \p What requires.
+Role requiredRole(const Command &What);
+
+} // namespace sapphiremoor
+
+#endif // SAPPHIREMOOR_GATEWAY_ROUTE_H
--- /dev/null
+++ b/src/gateway/tests/jobrequest_test.cpp
@@ -0,0 +1,53 @@
+#include "gateway/jobparser.h"
+
+#include <doctest/doctest.h>
+
+using namespace sapphiremoor;
+
+namespace {
+Error parseError(std::string_view Body, bool Single = false) {
+  return errorOf(parseJobRequest(Body, Single, {}));
+}
+} // namespace
+
+TEST_CASE("a job keeps its tasks in order") {
+  const auto R = parseJobRequest(
+      R"({"service":"quote","tasks":[{"x":1},"b",3],"deadline_ms":50})", false,
+      {});
+  REQUIRE_FALSE(isError(R));
+  CHECK(valueOf(R).Tasks ==
+        std::vector<std::string>{R"({"x":1})", "\"b\"", "3"});
+  CHECK(valueOf(R).DeadlineMicros == 50000);
+}
+
+TEST_CASE("each malformed body gets its kind and a remedy") {
+  CHECK(parseError("{").Kind == ErrorKind::BadJson);
+  CHECK(parseError("[]").Kind == ErrorKind::BadRequest);
+  CHECK(parseError(R"({"service":"s","tasks":[]})").Kind ==
+        ErrorKind::BadRequest);
+  CHECK(parseError(R"({"service":"s","task":[1]})").Remedy ==
+        "did you mean 'tasks'?");
+  CHECK(parseError(R"({"service":"s","tasks":[1],"deadline_ms":0})").Kind ==
+        ErrorKind::OutOfRange);
+  CHECK(parseError(R"({"service":7,"task":1})", true).Kind ==
+        ErrorKind::BadRequest);
+  CHECK(parseError("{\"service\":\"s\",\"tasks\":[\"\xff\"]}").Kind ==
+        ErrorKind::BadJson);
+}
+
+TEST_CASE("a job over the limit of tasks is refused") {
+  JobLimits Limits;
+  Limits.MaxTasks = 2;
+  const auto R =
+      parseJobRequest(R"({"service":"s","tasks":[1,2,3]})", false, Limits);
+  CHECK(errorOf(R).Kind == ErrorKind::TooLarge);
+}
+
+TEST_CASE("the digest tells bodies apart but not deadlines") {
+  const JobRequest A{"t", "s", {"1", "2"}, 5, false};
+  JobRequest B = A;
+  B.DeadlineMicros = 9;
+  CHECK(bodyDigest(A) == bodyDigest(B));
+  B.Tasks = {"12", ""};
+  CHECK(bodyDigest(A) != bodyDigest(B));
+}
--- /dev/null
+++ b/src/gateway/types/answer.h
@@ -0,0 +1,51 @@
+#ifndef SAPPHIREMOOR_GATEWAY_TYPES_ANSWER_H
+#define SAPPHIREMOOR_GATEWAY_TYPES_ANSWER_H
+
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace sapphiremoor {
+
+/// How a job ended.
+enum class Outcome : uint8_t {
+  /// All tasks succeeded.
+  Complete,
+  /// The job will not complete; some tasks may have run, none will start.
+  Failed,
+  /// No task of the key has started or will start.
+  NotRun,
+  /// The system cannot know whether tasks ran.
+  Unknown,
+};
+
+/// What a caller may do after an answer.
+enum class Retry : uint8_t {
+  None,
+  /// Sending the same key again is safe and may give a better answer.
+  SameKey,
+  /// The key is used up; sending the work under a new key is safe.
+  NewKey,
+};
+
+/// The whole answer to one job.
+struct Answer {
+  Outcome Result = Outcome::Unknown;
+  Retry Next = Retry::None;
+  /// Why the job did not complete, for example "queue_full".
+  std::string Reason;
+  std::string Remedy;
+  /// One JSON text per task, in the order of the tasks; empty unless complete.
+  std::vector<std::string> Results;
+
+  auto operator<=>(const Answer &) const = default;
+
+  template <typename Archive> void serialize(Archive &Ar) {
+    Ar(Result, Next, Reason, Remedy, Results);
+  }
+};
+
+} // namespace sapphiremoor
+
+#endif // SAPPHIREMOOR_GATEWAY_TYPES_ANSWER_H
