Add the claims module: key text, grants, seals, kept answers

Ruled out: a void message of its own (a grant request with the intent "refuse" carries it); one request number per claim (late replies of an earlier phase would count); a provisional grant that a second forward overwrites (the first executor may already count it). Change: key text under the cluster secret, issuer's record, holds, seals, promises, kept answers, messages and effects. Before: an empty placeholder.

--- /dev/null
+++ b/src/claims/internal/pending.h
@@ -0,0 +1,66 @@
+#ifndef SAPPHIREMOOR_CLAIMS_INTERNAL_PENDING_H
+#define SAPPHIREMOOR_CLAIMS_INTERNAL_PENDING_H
+
+#include "claims/internal/records.h"
+#include "claims/types/claimeffect.h"
+#include "claims/types/claimstate.h"
+
+#include <string>
+#include <vector>
+
+namespace sapphiremoor::detail {
+
+/// One call of a public function: the state, the time and the effects so far.
+struct Step {
+  ClaimState &State;
+  Instant Now;
+  ClaimEffects Effects;
+};
+
+/// Returns true if \p Vm is down or has been restarted, as far as is known.
+bool isLost(const ClaimState &State, const VmId &Vm);
+
+/// Returns true if the incarnation \p Vm is known to have ended.
+bool isGone(const ClaimState &State, const VmId &Vm);
+
+/// Keeps \p Claim until replies or its deadline, and returns its request
+/// number.
+uint64_t park(Step &S, PendingClaim Claim);
+
+/// Removes the pending claim \p Request, which must exist, and returns it.
+PendingClaim take(ClaimState &State, uint64_t Request);
+
+/// Puts a claim back under the request number that it was taken from.
+void restore(ClaimState &State, uint64_t Request, PendingClaim Claim);
+
+/// Returns the request numbers of the pending claims of \p Key.
+std::vector<uint64_t> pendingOf(const ClaimState &State, const JobKey &Key);
+
+/// Returns true if a pending claim of \p Key may still start it here.
+bool mayStart(const ClaimState &State, const JobKey &Key);
+
+/// Adds a message to the effects.
+void send(Step &S, const VmId &To, ClaimMessage Message);
+
+// Each of these ends a claim with one effect.
+void finishNotRun(Step &S, const PendingClaim &Claim, std::string Reason);
+void finishUnknown(Step &S, const PendingClaim &Claim, std::string Reason,
+                   RetryAdvice Retry);
+void finishConflict(Step &S, const PendingClaim &Claim);
+void finishJoin(Step &S, const PendingClaim &Claim);
+void finishPass(Step &S, const PendingClaim &Claim, const VmId &Executor);
+
+/// Ends the claim if this VM has started the key or keeps its answer.
+bool finishIfExecutedHere(Step &S, const PendingClaim &Claim);
+
+/// Ends the claim with a conflict if its body is another than \p Digest.
+bool finishIfConflict(Step &S, const PendingClaim &Claim,
+                      const BodyDigest &Digest);
+
+/// Promises that this VM never starts \p Key. Returns false if it has started
+/// it or has dropped the prefix.
+bool promise(Step &S, const JobKey &Key);
+
+} // namespace sapphiremoor::detail
+
+#endif // SAPPHIREMOOR_CLAIMS_INTERNAL_PENDING_H
--- /dev/null
+++ b/src/claims/keytext.h
@@ -0,0 +1,33 @@
+#ifndef SAPPHIREMOOR_CLAIMS_KEYTEXT_H
+#define SAPPHIREMOOR_CLAIMS_KEYTEXT_H
+
+#include "claims/types/jobkey.h"
+#include "framework/core/result.h"
+
+#include <string>
+#include <string_view>
+
+namespace sapphiremoor {
+
+/// Returns the digest of a job's body that claims compare.
+BodyDigest bodyDigest(std::string_view Body);
+
+/// Returns the text of \p Value: base64url of its fields and a code under the
+/// cluster's secret. The issuer must be the first member.
+std::string formatPrefix(const Prefix &Value, std::string_view ClusterSecret);
+
+/// Returns the text `PREFIX.NUMBER` of \p Value.
+std::string formatKey(const JobKey &Value, std::string_view ClusterSecret);
+
+/// Reads a prefix. MissingKey if \p Text is empty; BadKey if it was not issued
+/// under \p ClusterSecret.
+Result<Prefix> parsePrefix(std::string_view Text,
+                           std::string_view ClusterSecret);
+
+/// Reads a key. MissingKey if \p Text is empty; BadKey if its prefix was not
+/// issued under \p ClusterSecret or its number is not in plain decimal form.
+Result<JobKey> parseKey(std::string_view Text, std::string_view ClusterSecret);
+
+} // namespace sapphiremoor
+
+#endif // SAPPHIREMOOR_CLAIMS_KEYTEXT_H
--- /dev/null
+++ b/src/claims/types/claimlimits.h
@@ -0,0 +1,26 @@
+#ifndef SAPPHIREMOOR_CLAIMS_TYPES_CLAIMLIMITS_H
+#define SAPPHIREMOOR_CLAIMS_TYPES_CLAIMLIMITS_H
+
+#include "framework/core/time.h"
+
+#include <cstddef>
+
+namespace sapphiremoor {
+
+/// Time and memory limits of the claims of one VM.
+struct ClaimLimits {
+  /// How long a claim waits for a reply: hundreds of round trips.
+  Duration ClaimTimeout = std::chrono::milliseconds(500);
+  /// Grants and voids are kept this long after the prefix was first seen.
+  Duration PrefixKept = std::chrono::hours(1);
+  /// Answers are kept over a caller's retry time.
+  Duration AnswersKept = std::chrono::minutes(15);
+  /// Estimated bytes of all prefix records of this VM.
+  std::size_t RecordBytes = std::size_t{64} << 20;
+  /// Bytes of all answers kept on this VM.
+  std::size_t AnswerBytes = std::size_t{32} << 20;
+};
+
+} // namespace sapphiremoor
+
+#endif // SAPPHIREMOOR_CLAIMS_TYPES_CLAIMLIMITS_H
