Add placement decisions with their final interface

Cause: the daemon needs to know which queued task starts on which backend server. Ruled out: a std::set of backend servers ordered by free slots, whose cost grows with their number; a tree of 64-bit words per number of free slots finds the next one in the rotation in two steps for 50 and for 940 servers. Change: src/placement with placement.h as its interface: weighted fair queueing by team, FIFO per service and team, ejection, rest after refusals, retry budget, hedges, learned run times, admission.

--- /dev/null
+++ b/src/placement/internal/backends.cpp
@@ -0,0 +1,254 @@
+#include "placement/internal/backends.h"
+#include "placement/internal/queues.h"
+#include "placement/placement.h"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace sapphiremoor {
+
+namespace detail {
+
+namespace {
+
+// Racks beyond this number share a column of the rotation.
+constexpr uint32_t RackColumnCount = 256;
+
+void assignPosition(PlacementState &State, uint32_t Index) {
+  BackendRecord &Backend = State.Backends[Index];
+  const auto Next = static_cast<uint32_t>(State.RackColumns.size());
+  const uint32_t Column =
+      State.RackColumns.try_emplace(Backend.Spec.Rack, Next % RackColumnCount)
+          .first->second;
+  State.FreeRows.resize(RackColumnCount);
+  State.NextRows.resize(RackColumnCount, 0);
+  uint32_t Row = 0;
+  if (State.FreeRows[Column].empty()) {
+    Row = State.NextRows[Column]++;
+  } else {
+    Row = State.FreeRows[Column].back();
+    State.FreeRows[Column].pop_back();
+  }
+  Backend.Position = Row * RackColumnCount + Column;
+  if (Backend.Position >= State.PositionOwners.size())
+    State.PositionOwners.resize(Backend.Position + 1, NoIndex);
+  State.PositionOwners[Backend.Position] = Index;
+}
+
+void releasePosition(PlacementState &State, const BackendRecord &Backend) {
+  State.FreeRows[Backend.Position % RackColumnCount].push_back(
+      Backend.Position / RackColumnCount);
+  State.PositionOwners[Backend.Position] = NoIndex;
+}
+
+void countCarrier(PlacementState &State, const BackendRecord &Backend,
+                  const Carriage &Carried, bool Add) {
+  ServiceRecord &Service = State.Services[Carried.Service];
+  const bool Good = Carried.Standing == Health::Good;
+  const uint32_t Demoted = Good ? 0 : 1;
+  const uint64_t Slots = Good ? Backend.Spec.Slots : 0;
+  Service.Carriers = Add ? Service.Carriers + 1 : Service.Carriers - 1;
+  Service.Demoted = Add ? Service.Demoted + Demoted : Service.Demoted - Demoted;
+  Service.Slots = Add ? Service.Slots + Slots : Service.Slots - Slots;
+}
+
+Listing wantedListing(const BackendRecord &Backend, const Carriage &Carried) {
+  if (Backend.Removed || Backend.freeSlots() == 0 || Carried.Resting ||
+      Carried.Standing == Health::Ejected ||
+      Carried.Standing == Health::Probing)
+    return Listing::None;
+  return Carried.Standing == Health::Reserve ? Listing::Reserve
+                                             : Listing::Preferred;
+}
+
+/// Takes a carriage out of all indexes, sums and timers.
+void detach(PlacementState &State, uint32_t Index, Carriage &Carried) {
+  BackendRecord &Backend = State.Backends[Index];
+  const bool Removed = std::exchange(Backend.Removed, true);
+  relist(State, Backend, Carried);
+  Backend.Removed = Removed;
+  countCarrier(State, Backend, Carried, false);
+  const uint64_t Owner = carriageOwner(Index, Carried.Service);
+  if (Carried.Resting)
+    State.Rests.cancel(Carried.RestUntil, Owner);
+  State.Probes.cancel(Carried.ProbeAt, Owner);
+  Carried.Resting = false;
+}
+
+/// Replaces the carriages of a backend server and keeps what was learned about
+/// the services that it still carries.
+void attachServices(PlacementState &State, uint32_t Index,
+                    std::vector<Carriage> Before) {
+  BackendRecord &Backend = State.Backends[Index];
+  for (const std::string &Name : Backend.Spec.Services) {
+    const uint32_t Number = serviceNumber(State, Name);
+    if (findCarriage(Backend, Number) != nullptr)
+      continue;
+    const auto Known = std::ranges::find(Before, Number, &Carriage::Service);
+    Carriage Carried;
+    if (Known != Before.end())
+      Carried = *Known;
+    Carried.Service = Number;
+    Backend.Carriages.push_back(Carried);
+    countCarrier(State, Backend, Carried, true);
+    if (Carried.ProbeAt != Instant::max())
+      State.Probes.schedule(Carried.ProbeAt, carriageOwner(Index, Number));
+  }
+  relistAll(State, Backend);
+}
+
+std::vector<Carriage> detachServices(PlacementState &State, uint32_t Index) {
+  for (Carriage &Carried : State.Backends[Index].Carriages)
+    detach(State, Index, Carried);
+  return std::exchange(State.Backends[Index].Carriages, {});
+}
+
+uint32_t newBackend(PlacementState &State, const BackendSpec &Spec) {
+  auto Index = static_cast<uint32_t>(State.Backends.size());
+  if (State.FreeBackends.empty()) {
+    State.Backends.emplace_back();
+  } else {
+    Index = State.FreeBackends.back();
+    State.FreeBackends.pop_back();
+  }
+  State.Backends[Index].Spec = Spec;
+  State.BackendNumbers.emplace(Spec.Id, Index);
+  assignPosition(State, Index);
+  return Index;
+}
+
+} // namespace
+
+Carriage *findCarriage(BackendRecord &Backend, uint32_t Service) {
+  const auto Found =
+      std::ranges::find(Backend.Carriages, Service, &Carriage::Service);
+  return Found == Backend.Carriages.end() ? nullptr : std::to_address(Found);
+}
+
+void relist(PlacementState &State, BackendRecord &Backend, Carriage &Carried) {
+  const Listing Wanted = wantedListing(Backend, Carried);
+  const uint32_t Level = std::min(Backend.freeSlots(), SlotIndex::MaxLevel);
+  if (Wanted == Carried.Listed &&
+      (Wanted == Listing::None || Level == Carried.Level))
+    return;
+  ServiceRecord &Service = State.Services[Carried.Service];
+  if (Carried.Listed == Listing::Preferred) {
+    Service.Preferred.erase(Backend.Position, Carried.Level);
+    Service.FreeSlots -= Carried.Level;
+  }
+  if (Carried.Listed == Listing::Reserve)
+    Service.Reserve.erase(Backend.Position, Carried.Level);
+  Carried.Listed = Wanted;
+  Carried.Level = Level;
+  if (Wanted == Listing::Preferred) {
+    Service.Preferred.insert(Backend.Position, Level);
+    Service.FreeSlots += Level;
+  }
+  if (Wanted == Listing::Reserve)
+    Service.Reserve.insert(Backend.Position, Level);
+  if (Service.Queued > 0)
+    refreshReady(State, Carried.Service);
+}
+
+void relistAll(PlacementState &State, BackendRecord &Backend) {
+  for (Carriage &Carried : Backend.Carriages)
+    relist(State, Backend, Carried);
+}
+
+void setStanding(PlacementState &State, BackendRecord &Backend,
+                 Carriage &Carried, Health Standing) {
+  countCarrier(State, Backend, Carried, false);
+  Carried.Standing = Standing;
+  countCarrier(State, Backend, Carried, true);
+  relist(State, Backend, Carried);
+}
+
+bool mayDemote(const PlacementState &State, uint32_t Service) {
+  const ServiceRecord &Record = State.Services[Service];
+  return Record.Demoted + 1 <= State.Limits.EjectedShare * Record.Carriers;
+}
+
+void restUntil(PlacementState &State, uint32_t Backend, Carriage &Carried,
+               Instant Until) {
+  const uint64_t Owner = carriageOwner(Backend, Carried.Service);
+  if (Carried.Resting)
+    State.Rests.cancel(Carried.RestUntil, Owner);
+  Carried.RestUntil = Until;
+  Carried.Resting = true;
+  State.Rests.schedule(Until, Owner);
+  relist(State, State.Backends[Backend], Carried);
+}
+
+void probeAt(PlacementState &State, uint32_t Backend, Carriage &Carried,
+             Instant At) {
+  const uint64_t Owner = carriageOwner(Backend, Carried.Service);
+  State.Probes.cancel(Carried.ProbeAt, Owner);
+  Carried.ProbeAt = At;
+  if (At != Instant::max())
+    State.Probes.schedule(At, Owner);
+}
+
+void handleTimers(PlacementState &State, Instant Now) {
+  while (const auto Owner = State.Rests.takeDue(Now)) {
+    BackendRecord &Backend = State.Backends[*Owner >> 32];
+    Carriage *Carried = findCarriage(Backend, static_cast<uint32_t>(*Owner));
+    Carried->Resting = false;
+    relist(State, Backend, *Carried);
+  }
+  while (const auto Owner = State.Probes.takeDue(Now)) {
+    BackendRecord &Backend = State.Backends[*Owner >> 32];
+    Carriage *Carried = findCarriage(Backend, static_cast<uint32_t>(*Owner));
+    Carried->ProbeAt = Instant::max();
+    setStanding(State, Backend, *Carried, Health::ProbeDue);
+  }
+}
+
+void forgetIfIdle(PlacementState &State, uint32_t Index) {
+  BackendRecord &Backend = State.Backends[Index];
+  if (!Backend.Removed || Backend.Running > 0)
+    return;
+  releasePosition(State, Backend);
+  State.BackendNumbers.erase(Backend.Spec.Id);
+  Backend = BackendRecord{};
+  State.FreeBackends.push_back(Index);
+}
+
+} // namespace detail
+
+void upsertBackend(PlacementState &State, const BackendSpec &Spec, Instant) {
+  const auto Found = State.BackendNumbers.find(Spec.Id);
+  const bool Known = Found != State.BackendNumbers.end();
+  const uint32_t Index =
+      Known ? Found->second : detail::newBackend(State, Spec);
+  BackendRecord &Backend = State.Backends[Index];
+  if (Known && !Backend.Removed && Backend.Spec == Spec)
+    return;
+  std::vector<Carriage> Before = detail::detachServices(State, Index);
+  if (Known && !Backend.Removed)
+    State.Slots -= Backend.Spec.Slots;
+  if (Backend.Spec.Rack != Spec.Rack) {
+    detail::releasePosition(State, Backend);
+    Backend.Spec.Rack = Spec.Rack;
+    detail::assignPosition(State, Index);
+  }
+  Backend.Spec = Spec;
+  Backend.Removed = false;
+  State.Slots += Spec.Slots;
+  detail::attachServices(State, Index, std::move(Before));
+}
+
+void removeBackend(PlacementState &State, const std::string &Id) {
+  const auto Found = State.BackendNumbers.find(Id);
+  if (Found == State.BackendNumbers.end() ||
+      State.Backends[Found->second].Removed)
+    return;
+  const uint32_t Index = Found->second;
+  detail::detachServices(State, Index);
+  State.Slots -= State.Backends[Index].Spec.Slots;
+  State.Backends[Index].Removed = true;
+  State.Backends[Index].RefusalsInRow = 0;
+  detail::forgetIfIdle(State, Index);
+}
+
+} // namespace sapphiremoor
--- /dev/null
+++ b/src/placement/internal/health.h
@@ -0,0 +1,17 @@
+#ifndef SAPPHIREMOOR_PLACEMENT_INTERNAL_HEALTH_H
+#define SAPPHIREMOOR_PLACEMENT_INTERNAL_HEALTH_H
+
+#include "placement/placementstate.h"
+#include "placement/types/taskoutcome.h"
+
+#include <cstdint>
+
+namespace sapphiremoor::detail {
+
+/// Learns from one outcome and changes the standing of the carriage.
+void judge(PlacementState &State, uint32_t Backend, Carriage &Carried,
+           TaskOutcome Outcome, Duration RunTime, Instant Now);
+
+} // namespace sapphiremoor::detail
+
+#endif // SAPPHIREMOOR_PLACEMENT_INTERNAL_HEALTH_H
--- /dev/null
+++ b/src/placement/internal/queues.cpp
@@ -0,0 +1,228 @@
+#include "placement/internal/queues.h"
+#include "placement/internal/backends.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+#include <utility>
+
+namespace sapphiremoor::detail {
+
+namespace {
+
+constexpr double SecondsPerUs = 1e-6;
+
+bool isActive(const TeamRecord &Team) { return Team.Queued + Team.Running > 0; }
+
+/// Changes a count of a team and keeps the sum of active shares.
+void changeTeam(PlacementState &State, uint32_t TeamIndex, int Queued,
+                int Running) {
+  TeamRecord &Team = State.Teams[TeamIndex];
+  const bool Before = isActive(Team);
+  Team.Queued += static_cast<uint32_t>(Queued);
+  Team.Running += static_cast<uint32_t>(Running);
+  if (Before && !isActive(Team))
+    State.ActiveShares -= Team.Spec.Share;
+  if (!Before && isActive(Team))
+    State.ActiveShares += Team.Spec.Share;
+}
+
+/// Limits how much unused share a team that starts to queue may catch up.
+void limitCredit(PlacementState &State, uint32_t Team) {
+  const double Credit = static_cast<double>(State.Limits.BurstCredit.count()) *
+                        SecondsPerUs * static_cast<double>(State.Slots) /
+                        std::max(State.ShareSum, 1e-9);
+  const double Floor = State.VirtualTime - Credit;
+  const double Missing = Floor - State.Teams[Team].VirtualTime;
+  if (Missing > 0)
+    moveVirtualTime(State, Team, Missing);
+}
+
+/// Returns true if the wait for other backend servers would be longer than
+/// what the slow one costs.
+bool worthReserve(const PlacementState &State, const ServiceRecord &Service,
+                  uint32_t Backend, uint32_t ServiceIndex) {
+  if (Service.Demoted >= Service.Carriers || Service.Slots == 0)
+    return true;
+  for (const Carriage &Carried : State.Backends[Backend].Carriages)
+    if (Carried.Service == ServiceIndex && Carried.Slow)
+      return static_cast<double>(Service.Queued) >
+             (std::exp(Carried.LogRatio) - 1) *
+                 static_cast<double>(Service.Slots);
+  return true;
+}
+
+bool isDead(const PlacementState &State, const QueueEntry &Entry) {
+  const JobRecord &Job = State.Jobs[Entry.Job];
+  return Job.Generation != Entry.Generation || Job.Dropped;
+}
+
+} // namespace
+
+uint32_t serviceNumber(PlacementState &State, const std::string &Name) {
+  const auto Next = static_cast<uint32_t>(State.Services.size());
+  const auto [Found, Added] = State.ServiceNumbers.try_emplace(Name, Next);
+  if (Added) {
+    State.Services.emplace_back();
+    State.Services.back().Spec.Name = Name;
+    State.Services.back().RetryTokens = State.Limits.RetryTokens;
+  }
+  return Found->second;
+}
+
+uint32_t teamNumber(PlacementState &State, const std::string &Name) {
+  const auto Next = static_cast<uint32_t>(State.Teams.size());
+  const auto [Found, Added] = State.TeamNumbers.try_emplace(Name, Next);
+  if (!Added)
+    return Found->second;
+  double Least = Next == 0 ? 1.0 : State.Teams.front().Spec.Share;
+  for (const TeamRecord &Team : State.Teams)
+    Least = std::min(Least, Team.Spec.Share);
+  State.Teams.emplace_back();
+  State.Teams.back().Spec = TeamSpec{Name, Least};
+  State.Teams.back().VirtualTime = State.VirtualTime;
+  State.ShareSum += Least;
+  return Next;
+}
+
+void trimFront(PlacementState &State, TeamQueue &Queue) {
+  while (!Queue.Entries.empty() && isDead(State, Queue.Entries.front()))
+    Queue.Entries.pop_front();
+}
+
+uint32_t chooseBackend(const PlacementState &State, uint32_t ServiceIndex,
+                       uint32_t Excluded) {
+  const ServiceRecord &Service = State.Services[ServiceIndex];
+  const uint32_t ExcludedPosition =
+      Excluded == NoIndex ? NoIndex : State.Backends[Excluded].Position;
+  if (const auto Position = Service.Preferred.pick(ExcludedPosition))
+    return State.PositionOwners[*Position];
+  const auto Position = Service.Reserve.pick(ExcludedPosition);
+  if (!Position)
+    return NoIndex;
+  const uint32_t Backend = State.PositionOwners[*Position];
+  return worthReserve(State, Service, Backend, ServiceIndex) ? Backend
+                                                             : NoIndex;
+}
+
+void refreshReady(PlacementState &State, uint32_t ServiceIndex) {
+  ServiceRecord &Service = State.Services[ServiceIndex];
+  std::optional<ReadyKey> Wanted;
+  if (Service.Queued > 0 &&
+      chooseBackend(State, ServiceIndex, NoIndex) != NoIndex) {
+    const auto [VirtualTime, Team] = *Service.Waiting.begin();
+    TeamQueue &Queue = Service.Queues[Team];
+    trimFront(State, Queue);
+    const JobRecord &Job = State.Jobs[Queue.Entries.front().Job];
+    Wanted = ReadyKey{VirtualTime, Job.Sequence, ServiceIndex};
+  }
+  if (Wanted == Service.Ready)
+    return;
+  if (Service.Ready)
+    State.Ready.erase(*Service.Ready);
+  if (Wanted)
+    State.Ready.insert(*Wanted);
+  Service.Ready = Wanted;
+}
+
+void addRunning(PlacementState &State, uint32_t Team, int Change) {
+  changeTeam(State, Team, 0, Change);
+}
+
+void moveVirtualTime(PlacementState &State, uint32_t TeamIndex, double Charge) {
+  TeamRecord &Team = State.Teams[TeamIndex];
+  const double Before = Team.VirtualTime;
+  Team.VirtualTime += Charge;
+  for (const uint32_t Service : Team.WaitingIn) {
+    auto &Waiting = State.Services[Service].Waiting;
+    auto Node = Waiting.extract({Before, TeamIndex});
+    Node.value().first = Team.VirtualTime;
+    Waiting.insert(std::move(Node));
+    refreshReady(State, Service);
+  }
+}
+
+void addQueued(PlacementState &State, JobRecord &Job, uint32_t Count) {
+  ServiceRecord &Service = State.Services[Job.Service];
+  TeamQueue &Queue = Service.Queues[Job.Team];
+  TeamRecord &Team = State.Teams[Job.Team];
+  if (Queue.Live == 0) {
+    limitCredit(State, Job.Team);
+    Service.Waiting.emplace(Team.VirtualTime, Job.Team);
+    Team.WaitingIn.push_back(Job.Service);
+  }
+  Job.Queued += Count;
+  Queue.Live += Count;
+  Service.Queued += Count;
+  State.Queued += Count;
+  changeTeam(State, Job.Team, static_cast<int>(Count), 0);
+  refreshReady(State, Job.Service);
+}
+
+void subtractQueued(PlacementState &State, JobRecord &Job, uint32_t Count) {
+  ServiceRecord &Service = State.Services[Job.Service];
+  TeamQueue &Queue = Service.Queues[Job.Team];
+  TeamRecord &Team = State.Teams[Job.Team];
+  Job.Queued -= Count;
+  Queue.Live -= Count;
+  Service.Queued -= Count;
+  State.Queued -= Count;
+  changeTeam(State, Job.Team, -static_cast<int>(Count), 0);
+  if (Queue.Live == 0 && Count > 0) {
+    Service.Waiting.erase({Team.VirtualTime, Job.Team});
+    std::erase(Team.WaitingIn, Job.Service);
+  }
+  refreshReady(State, Job.Service);
+}
+
+void requeueTask(PlacementState &State, uint32_t JobIndex, uint32_t TaskIndex) {
+  JobRecord &Job = State.Jobs[JobIndex];
+  Job.Tasks[TaskIndex].Phase = TaskPhase::Queued;
+  State.Services[Job.Service].Queues[Job.Team].Entries.push_front(
+      {JobIndex, Job.Generation, TaskIndex, TaskIndex + 1});
+  addQueued(State, Job, 1);
+  if (Job.Deadline != Instant::max() && !Job.DeadlineArmed) {
+    State.Deadlines.schedule(Job.Deadline, JobIndex);
+    Job.DeadlineArmed = true;
+  }
+}
+
+uint32_t dropQueued(PlacementState &State, JobRecord &Job) {
+  const uint32_t Dropped = Job.Queued;
+  Job.Dropped = true;
+  subtractQueued(State, Job, Dropped);
+  return Dropped;
+}
+
+void expireJob(PlacementState &State, JobRecord &Job) {
+  for (uint32_t Index = 0; Index < Job.Tasks.size(); ++Index) {
+    if (Job.Tasks[Index].Phase != TaskPhase::Queued)
+      continue;
+    Job.Tasks[Index].Phase = TaskPhase::Ended;
+    State.Expired.emplace_back(Job.Number, Index);
+  }
+  dropQueued(State, Job);
+}
+
+void disarmTimers(PlacementState &State, JobRecord &Job, uint32_t JobIndex) {
+  if (Job.HedgeArmed)
+    State.Hedges.cancel(Job.HedgeAt, JobIndex);
+  if (Job.DeadlineArmed)
+    State.Deadlines.cancel(Job.Deadline, JobIndex);
+  Job.HedgeArmed = false;
+  Job.DeadlineArmed = false;
+}
+
+void releaseIfEnded(PlacementState &State, uint32_t JobIndex) {
+  JobRecord &Job = State.Jobs[JobIndex];
+  if (Job.Queued + Job.Running > 0)
+    return;
+  disarmTimers(State, Job, JobIndex);
+  State.JobNumbers.erase(Job.Number);
+  const uint32_t Generation = Job.Generation + 1;
+  Job = JobRecord{};
+  Job.Generation = Generation;
+  State.FreeJobs.push_back(JobIndex);
+}
+
+} // namespace sapphiremoor::detail
--- /dev/null
+++ b/src/placement/internal/queues.h
@@ -0,0 +1,51 @@
+#ifndef SAPPHIREMOOR_PLACEMENT_INTERNAL_QUEUES_H
+#define SAPPHIREMOOR_PLACEMENT_INTERNAL_QUEUES_H
+
+#include "placement/placementstate.h"
+
+#include <cstdint>
+#include <string>
+
+namespace sapphiremoor::detail {
+
+uint32_t serviceNumber(PlacementState &State, const std::string &Name);
+uint32_t teamNumber(PlacementState &State, const std::string &Name);
+
+/// Removes dead entries from the front of the queue.
+void trimFront(PlacementState &State, TeamQueue &Queue);
+
+/// Computes again whether a service can start a task now, and its order.
+void refreshReady(PlacementState &State, uint32_t Service);
+
+/// Returns the backend server that the next start of a service goes to, other
+/// than \p Excluded, or NoIndex.
+uint32_t chooseBackend(const PlacementState &State, uint32_t Service,
+                       uint32_t Excluded);
+
+/// Changes the number of running tasks of a team.
+void addRunning(PlacementState &State, uint32_t Team, int Change);
+
+/// Adds \p Charge (slot seconds over share) to the virtual time of a team.
+void moveVirtualTime(PlacementState &State, uint32_t Team, double Charge);
+
+/// Changes the number of queued tasks of a job's queue and all its sums.
+void addQueued(PlacementState &State, JobRecord &Job, uint32_t Count);
+void subtractQueued(PlacementState &State, JobRecord &Job, uint32_t Count);
+
+/// Queues a task again, before all others of its queue.
+void requeueTask(PlacementState &State, uint32_t JobIndex, uint32_t TaskIndex);
+
+/// Drops the queued tasks of a job and returns their number.
+uint32_t dropQueued(PlacementState &State, JobRecord &Job);
+
+/// As dropQueued, and keeps the tasks for expireTasks.
+void expireJob(PlacementState &State, JobRecord &Job);
+
+/// Frees the record of a job that has no queued and no running task.
+void releaseIfEnded(PlacementState &State, uint32_t JobIndex);
+
+void disarmTimers(PlacementState &State, JobRecord &Job, uint32_t JobIndex);
+
+} // namespace sapphiremoor::detail
+
+#endif // SAPPHIREMOOR_PLACEMENT_INTERNAL_QUEUES_H
--- /dev/null
+++ b/src/placement/internal/starts.cpp
@@ -0,0 +1,164 @@
+#include "placement/internal/backends.h"
+#include "placement/internal/queues.h"
+#include "placement/placement.h"
+
+#include <algorithm>
+
+namespace sapphiremoor {
+
+namespace detail {
+
+namespace {
+
+constexpr double SecondsPerUs = 1e-6;
+
+// Predictions shorter than this say nothing about the queue.
+constexpr Duration ShortWait{20'000};
+constexpr double WaitWeight = 0.1;
+
+void occupy(PlacementState &State, uint32_t BackendIndex, uint32_t Service) {
+  BackendRecord &Backend = State.Backends[BackendIndex];
+  Carriage *Carried = findCarriage(Backend, Service);
+  State.Services[Service].Preferred.advance(Backend.Position);
+  ++Backend.Running;
+  if (Carried->Standing == Health::ProbeDue)
+    setStanding(State, Backend, *Carried, Health::Probing);
+  relistAll(State, Backend);
+}
+
+/// Occupies the slot, charges the team and records the start.
+TaskStart startOn(PlacementState &State, JobRecord &Job, uint32_t TaskIndex,
+                  uint32_t Backend, bool Hedge) {
+  ServiceRecord &Service = State.Services[Job.Service];
+  const double Charge =
+      static_cast<double>(Service.Times.mean().count()) * SecondsPerUs;
+  TaskRecord &Task = Job.Tasks[TaskIndex];
+  Attempt &Started = Hedge ? Task.Hedge : Task.First;
+  Started.Backend = Backend;
+  Started.Charged = static_cast<float>(Charge);
+  Task.Phase = TaskPhase::Started;
+  ++Job.Running;
+  occupy(State, Backend, Job.Service);
+  const TeamRecord &Team = State.Teams[Job.Team];
+  State.VirtualTime = std::max(State.VirtualTime, Team.VirtualTime);
+  addRunning(State, Job.Team, 1);
+  moveVirtualTime(State, Job.Team, Charge / Team.Spec.Share);
+  return {Job.Number, TaskIndex, State.Backends[Backend].Spec.Id, Hedge};
+}
+
+void armHedge(PlacementState &State, JobRecord &Job, uint32_t JobIndex,
+              Instant Now) {
+  const ServiceRecord &Service = State.Services[Job.Service];
+  if (!Job.SingleRequest || !Service.Spec.Idempotent ||
+      Service.Spec.Weight != ServiceWeight::ResponseTime || Job.HedgeArmed)
+    return;
+  Job.HedgeAt = Now + Service.Times.percentile95();
+  Job.HedgeArmed = true;
+  State.Hedges.schedule(Job.HedgeAt, JobIndex);
+}
+
+/// Learns how far the predicted wait of the job's last task was off.
+void learnWait(PlacementState &State, const JobRecord &Job, Instant Now) {
+  if (Job.PredictedWait < ShortWait)
+    return;
+  TeamQueue &Queue = State.Services[Job.Service].Queues[Job.Team];
+  const Duration Waited = Now - Job.EnqueuedAt;
+  const double Ratio = static_cast<double>(Waited.count()) /
+                       static_cast<double>(Job.PredictedWait.count());
+  Queue.WaitFactor +=
+      WaitWeight * (std::clamp(Ratio, 0.2, 5.0) - Queue.WaitFactor);
+}
+
+/// Starts the first queued task of the service that is next.
+void startNext(PlacementState &State, Instant Now,
+               std::vector<TaskStart> &Starts) {
+  const uint32_t ServiceIndex = std::get<2>(*State.Ready.begin());
+  ServiceRecord &Service = State.Services[ServiceIndex];
+  TeamQueue &Queue = Service.Queues[Service.Waiting.begin()->second];
+  trimFront(State, Queue);
+  QueueEntry &Entry = Queue.Entries.front();
+  const uint32_t JobIndex = Entry.Job;
+  JobRecord &Job = State.Jobs[JobIndex];
+  if (Job.Deadline <= Now) {
+    expireJob(State, Job);
+    return;
+  }
+  const uint32_t TaskIndex = Entry.Next++;
+  if (Entry.Next == Entry.End)
+    Queue.Entries.pop_front();
+  const uint32_t Backend = chooseBackend(State, ServiceIndex, NoIndex);
+  // The sums must match the queue before anything else reads them.
+  subtractQueued(State, Job, 1);
+  Starts.push_back(startOn(State, Job, TaskIndex, Backend, false));
+  Service.RetryTokens = std::min(Service.RetryTokens + State.Limits.RetryShare,
+                                 State.Limits.RetryTokens);
+  armHedge(State, Job, JobIndex, Now);
+  if (Job.Queued > 0)
+    return;
+  learnWait(State, Job, Now);
+  if (Job.DeadlineArmed)
+    State.Deadlines.cancel(Job.Deadline, JobIndex);
+  Job.DeadlineArmed = false;
+}
+
+/// Starts the hedges that are due and have a free slot elsewhere now. With no
+/// slot free a hedge would only lengthen the queue.
+void startHedges(PlacementState &State, Instant Now,
+                 std::vector<TaskStart> &Starts) {
+  while (const auto Owner = State.Hedges.takeDue(Now)) {
+    JobRecord &Job = State.Jobs[*Owner];
+    Job.HedgeArmed = false;
+    const TaskRecord &Task = Job.Tasks.front();
+    ServiceRecord &Service = State.Services[Job.Service];
+    if (Task.Phase != TaskPhase::Started || !Task.First.running() ||
+        Task.Hedge.running() || Job.Dropped || Service.RetryTokens < 1 ||
+        Job.Deadline <= Now)
+      continue;
+    const uint32_t Backend =
+        chooseBackend(State, Job.Service, Task.First.Backend);
+    if (Backend == NoIndex)
+      continue;
+    Service.RetryTokens -= 1;
+    Starts.push_back(startOn(State, Job, 0, Backend, true));
+  }
+}
+
+} // namespace
+
+} // namespace detail
+
+std::vector<TaskStart> nextStarts(PlacementState &State, Instant Now) {
+  std::vector<TaskStart> Starts;
+  detail::handleTimers(State, Now);
+  while (!State.Ready.empty())
+    detail::startNext(State, Now, Starts);
+  detail::startHedges(State, Now, Starts);
+  return Starts;
+}
+
+std::optional<Instant> nextTimer(const PlacementState &State) {
+  if (!State.Expired.empty())
+    return Instant{};
+  std::optional<Instant> Next;
+  for (const TimerQueue *Timers :
+       {&State.Probes, &State.Rests, &State.Hedges, &State.Deadlines}) {
+    const std::optional<Instant> First = Timers->first();
+    if (First && (!Next || *First < *Next))
+      Next = First;
+  }
+  return Next;
+}
+
+std::vector<std::pair<JobNumber, uint32_t>> expireTasks(PlacementState &State,
+                                                        Instant Now) {
+  while (const auto Owner = State.Deadlines.takeDue(Now)) {
+    const auto JobIndex = static_cast<uint32_t>(*Owner);
+    JobRecord &Job = State.Jobs[JobIndex];
+    Job.DeadlineArmed = false;
+    detail::expireJob(State, Job);
+    detail::releaseIfEnded(State, JobIndex);
+  }
+  return std::exchange(State.Expired, {});
+}
+
+} // namespace sapphiremoor
--- /dev/null
+++ b/src/placement/types/indexset.h
@@ -0,0 +1,31 @@
+#ifndef SAPPHIREMOOR_PLACEMENT_TYPES_INDEXSET_H
+#define SAPPHIREMOOR_PLACEMENT_TYPES_INDEXSET_H
+
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+namespace sapphiremoor {
+
+/// A set of small numbers as a tree of 64-bit words. All operations take
+/// O(log64 n), so that 50 and 1,000 members cost the same.
+class IndexSet {
+public:
+  void insert(uint32_t Index);
+  void erase(uint32_t Index);
+  bool empty() const;
+
+  /// Returns the least member not less than \p From, or else the least
+  /// member, or nothing if the set is empty.
+  std::optional<uint32_t> nextFrom(uint32_t From) const;
+
+private:
+  std::optional<uint32_t> atLeast(uint32_t From) const;
+
+  /// Levels[0] has a bit per number; each next level has a bit per word.
+  std::vector<std::vector<uint64_t>> Levels;
+};
+
+} // namespace sapphiremoor
+
+#endif // SAPPHIREMOOR_PLACEMENT_TYPES_INDEXSET_H
--- /dev/null
+++ b/src/placement/types/jobshape.h
@@ -0,0 +1,26 @@
+#ifndef SAPPHIREMOOR_PLACEMENT_TYPES_JOBSHAPE_H
+#define SAPPHIREMOOR_PLACEMENT_TYPES_JOBSHAPE_H
+
+#include "framework/core/time.h"
+
+#include <compare>
+#include <cstdint>
+#include <string>
+
+namespace sapphiremoor {
+
+/// What placement must know of a job. SingleRequest tells a request (one task,
+/// may be retried or hedged if its service is idempotent) from a submission.
+struct JobShape {
+  std::string Team;
+  std::string Service;
+  uint32_t TaskCount = 1;
+  Instant Deadline = Instant::max();
+  bool SingleRequest = false;
+
+  auto operator<=>(const JobShape &) const = default;
+};
+
+} // namespace sapphiremoor
+
+#endif // SAPPHIREMOOR_PLACEMENT_TYPES_JOBSHAPE_H
--- /dev/null
+++ b/src/placement/types/placementlimits.h
@@ -0,0 +1,42 @@
+#ifndef SAPPHIREMOOR_PLACEMENT_TYPES_PLACEMENTLIMITS_H
+#define SAPPHIREMOOR_PLACEMENT_TYPES_PLACEMENTLIMITS_H
+
+#include "framework/core/time.h"
+
+#include <compare>
+#include <cstdint>
+
+namespace sapphiremoor {
+
+/// Bounds and thresholds of placement.
+struct PlacementLimits {
+  /// Queued tasks over all teams. A team within its share of this bound is
+  /// admitted even when other teams have filled the queue.
+  uint32_t QueuedTasks = 50'000;
+  uint32_t TasksPerJob = 1'600;
+  /// Retry budget of a service: tokens gained per start, and the most kept.
+  double RetryShare = 0.1;
+  double RetryTokens = 100;
+  /// Failures in a row that eject a worker from a service.
+  uint32_t FailuresInRow = 3;
+  Duration FirstEjection{5'000'000};
+  Duration LongestEjection{60'000'000};
+  /// Largest part of a service's workers that is ejected or used last.
+  double EjectedShare = 0.3;
+  /// A worker this many times slower than its service is used last.
+  double SlowFactor = 2.5;
+  /// Time after which a slow worker is tried again with one task.
+  Duration SlowProbe{30'000'000};
+  /// Rest of a backend server after its first refusal as busy, doubled for
+  /// each further one in a row up to the longest.
+  Duration FirstRest{10'000};
+  Duration LongestRest{1'000'000};
+  /// A team that used less than its share may catch up this much time of it.
+  Duration BurstCredit{1'000'000};
+
+  auto operator<=>(const PlacementLimits &) const = default;
+};
+
+} // namespace sapphiremoor
+
+#endif // SAPPHIREMOOR_PLACEMENT_TYPES_PLACEMENTLIMITS_H
--- /dev/null
+++ b/src/placement/types/servicerecord.h
@@ -0,0 +1,71 @@
+#ifndef SAPPHIREMOOR_PLACEMENT_TYPES_SERVICERECORD_H
+#define SAPPHIREMOOR_PLACEMENT_TYPES_SERVICERECORD_H
+
+#include "placement/types/jobrecord.h"
+#include "placement/types/runtimes.h"
+#include "placement/types/servicespec.h"
+#include "placement/types/slotindex.h"
+#include "placement/types/teamspec.h"
+
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <set>
+#include <tuple>
+#include <utility>
+#include <vector>
+
+namespace sapphiremoor {
+
+/// The queue of one team within one service.
+struct TeamQueue {
+  /// Entries of dropped jobs stay until they reach the front.
+  std::deque<QueueEntry> Entries;
+  /// Queued tasks, without those of dropped jobs.
+  uint32_t Live = 0;
+  /// Learned ratio of actual to predicted wait.
+  double WaitFactor = 1.0;
+};
+
+/// Order of services that can start a task now: by the virtual time of their
+/// first team, then by the age of its first job.
+using ReadyKey = std::tuple<double, uint64_t, uint32_t>;
+
+/// One service in the placement state.
+struct ServiceRecord {
+  ServiceSpec Spec;
+  bool Configured = false;
+  RunTimes Times;
+  double RetryTokens = 0;
+  /// Weighted share of failed tasks of all workers.
+  double FailureShare = 0;
+  SlotIndex Preferred;
+  SlotIndex Reserve;
+  /// Queues by team number.
+  std::vector<TeamQueue> Queues;
+  /// Teams with queued tasks by virtual time.
+  std::set<std::pair<double, uint32_t>> Waiting;
+  std::optional<ReadyKey> Ready;
+  uint32_t Queued = 0;
+  /// Backend servers that carry it, and those of them not in good standing.
+  uint32_t Carriers = 0;
+  uint32_t Demoted = 0;
+  /// Slots of the carriers in good standing, and the listed free slots.
+  uint64_t Slots = 0;
+  uint64_t FreeSlots = 0;
+};
+
+/// One team in the placement state.
+struct TeamRecord {
+  TeamSpec Spec;
+  /// Slot seconds used, divided by the share.
+  double VirtualTime = 0;
+  uint32_t Queued = 0;
+  uint32_t Running = 0;
+  /// Services with queued tasks of this team.
+  std::vector<uint32_t> WaitingIn;
+};
+
+} // namespace sapphiremoor
+
+#endif // SAPPHIREMOOR_PLACEMENT_TYPES_SERVICERECORD_H
--- /dev/null
+++ b/src/placement/types/servicespec.h
@@ -0,0 +1,28 @@
+#ifndef SAPPHIREMOOR_PLACEMENT_TYPES_SERVICESPEC_H
+#define SAPPHIREMOOR_PLACEMENT_TYPES_SERVICESPEC_H
+
+#include "framework/core/time.h"
+
+#include <compare>
+#include <cstdint>
+#include <string>
+
+namespace sapphiremoor {
+
+/// What a service values more. Only ResponseTime allows hedges.
+enum class ServiceWeight : uint8_t { ResponseTime, Messages };
+
+/// The configured properties of a service. The declared run time only seeds
+/// the learned one.
+struct ServiceSpec {
+  std::string Name;
+  bool Idempotent = false;
+  ServiceWeight Weight = ServiceWeight::ResponseTime;
+  Duration DeclaredRunTime{300'000};
+
+  auto operator<=>(const ServiceSpec &) const = default;
+};
+
+} // namespace sapphiremoor
+
+#endif // SAPPHIREMOOR_PLACEMENT_TYPES_SERVICESPEC_H
--- /dev/null
+++ b/src/placement/types/timerqueue.h
@@ -0,0 +1,41 @@
+#ifndef SAPPHIREMOOR_PLACEMENT_TYPES_TIMERQUEUE_H
+#define SAPPHIREMOOR_PLACEMENT_TYPES_TIMERQUEUE_H
+
+#include "framework/core/time.h"
+
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <utility>
+
+namespace sapphiremoor {
+
+/// Instants at which the owners of timers (numbers) want attention. The owner
+/// keeps the instant, which is needed to cancel.
+class TimerQueue {
+public:
+  void schedule(Instant At, uint64_t Owner) { Timers.emplace(At, Owner); }
+  void cancel(Instant At, uint64_t Owner) { Timers.erase({At, Owner}); }
+
+  std::optional<Instant> first() const {
+    if (Timers.empty())
+      return std::nullopt;
+    return Timers.begin()->first;
+  }
+
+  /// Removes and returns the owner of the first timer that is due.
+  std::optional<uint64_t> takeDue(Instant Now) {
+    if (Timers.empty() || Timers.begin()->first > Now)
+      return std::nullopt;
+    const uint64_t Owner = Timers.begin()->second;
+    Timers.erase(Timers.begin());
+    return Owner;
+  }
+
+private:
+  std::set<std::pair<Instant, uint64_t>> Timers;
+};
+
+} // namespace sapphiremoor
+
+#endif // SAPPHIREMOOR_PLACEMENT_TYPES_TIMERQUEUE_H
