Add VM settings, service files and the replicated configuration state

Cause: the daemon needs its settings, the merged service configuration and a deterministic state that decides operators' changes.

Ruled out: nlohmann's document type, because it keeps no positions and takes the last of two equal keys silently; a search for the key in the text, because the same key stands in several objects. A parse event handler records the offset of each token instead.

Parsed files are kept beside the state, so that a change parses one file only.

--- /dev/null
+++ b/src/configuration/internal/configcache.h
@@ -0,0 +1,25 @@
+#ifndef SAPPHIREMOOR_CONFIGURATION_INTERNAL_CONFIGCACHE_H
+#define SAPPHIREMOOR_CONFIGURATION_INTERNAL_CONFIGCACHE_H
+
+#include "configuration/types/configstate.h"
+#include "framework/core/result.h"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace sapphiremoor {
+
+/// New texts by file name; no text means removal.
+using FileChanges = std::map<std::string, std::optional<std::string_view>>;
+
+/// Returns \p Cache after \p Changes. Files that do not change are not parsed
+/// again, so that the cost of a change does not grow with the size of all
+/// texts. Fails as mergeConfiguration() does.
+Result<ConfigCache> cacheWith(const ConfigCache &Cache,
+                              const FileChanges &Changes);
+
+} // namespace sapphiremoor
+
+#endif // SAPPHIREMOOR_CONFIGURATION_INTERNAL_CONFIGCACHE_H
--- /dev/null
+++ b/src/configuration/internal/configrecords.h
@@ -0,0 +1,14 @@
+#ifndef SAPPHIREMOOR_CONFIGURATION_INTERNAL_CONFIGRECORDS_H
+#define SAPPHIREMOOR_CONFIGURATION_INTERNAL_CONFIGRECORDS_H
+
+#include "configuration/types/configstate.h"
+
+namespace sapphiremoor {
+
+/// Drops the oldest history records, decided requests and removals beyond
+/// MaxHistory, MaxDecided and MaxRemovals.
+void trimRecords(ConfigState &State);
+
+} // namespace sapphiremoor
+
+#endif // SAPPHIREMOOR_CONFIGURATION_INTERNAL_CONFIGRECORDS_H
--- /dev/null
+++ b/src/configuration/internal/configstate.cpp
@@ -0,0 +1,162 @@
+#include "configuration/configstate.h"
+
+#include "configuration/internal/configcache.h"
+#include "configuration/internal/configrecords.h"
+#include "framework/codec/crypto.h"
+#include "framework/codec/serial.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace sapphiremoor {
+
+namespace {
+
+constexpr std::size_t MaxIdBytes = 128;
+
+ChangeResult rejected(const ConfigState &State, Error Reason) {
+  return {ChangeOutcome::Rejected, 0, "", State.Revision, std::move(Reason)};
+}
+
+/// The time of proposal is left out: a resend may pass through another VM.
+std::string digestOf(const ChangeFile &Change) {
+  ChangeFile Content = Change;
+  Content.ProposedMs = 0;
+  return std::string(bytesOf(sha256(encode(Content))));
+}
+
+std::optional<Error> checkIdentity(const ChangeFile &Change) {
+  const auto IsValid = [](const std::string &Id) {
+    return !Id.empty() && Id.size() <= MaxIdBytes;
+  };
+  if (IsValid(Change.RequestId) && IsValid(Change.Operator))
+    return std::nullopt;
+  return Error{ErrorKind::BadRequest,
+               "the request id and the operator's name must have 1 to " +
+                   std::to_string(MaxIdBytes) + " bytes",
+               "choose a new random request id for each change"};
+}
+
+/// Returns the change that was accepted first after \p Expected, or the newest
+/// one if that is no longer in the history.
+ChangeResult conflictWithWinner(const ConfigState &State, uint64_t Expected) {
+  const auto Found =
+      std::ranges::find(State.History, Expected + 1, &ChangeRecord::Revision);
+  ChangeRecord Winner;
+  Winner.Revision = State.Revision;
+  if (Found != State.History.end())
+    Winner = *Found;
+  else if (!State.History.empty())
+    Winner = State.History.back();
+  return {ChangeOutcome::Conflict, Winner.Revision, Winner.Operator,
+          State.Revision,
+          Error{ErrorKind::Conflict,
+                "revision " + std::to_string(Winner.Revision) + " by \"" +
+                    Winner.Operator + "\" was accepted first",
+                "read revision " + std::to_string(State.Revision) +
+                    " and submit the change again with a new request id"}};
+}
+
+std::optional<Error> checkExpectation(const ConfigState &State,
+                                      const ChangeFile &Change) {
+  if (Change.ExpectedRevision > State.Revision)
+    return Error{ErrorKind::BadRequest,
+                 "expected revision " +
+                     std::to_string(Change.ExpectedRevision) +
+                     " is higher than the one in force, " +
+                     std::to_string(State.Revision),
+                 "read the revision in force and submit the change again"};
+  if (!Change.Text && !State.Files.contains(Change.Name))
+    return Error{ErrorKind::NotFound,
+                 "there is no configuration file \"" +
+                     Change.Name.substr(0, MaxIdBytes) + "\" to remove",
+                 "list the files in force"};
+  return std::nullopt;
+}
+
+void accept(ConfigState &State, const ChangeFile &Change, ConfigCache Cache) {
+  ++State.Revision;
+  if (Change.Text)
+    State.Files[Change.Name] = *Change.Text;
+  else
+    State.Files.erase(Change.Name);
+  State.LastChanges[Change.Name] = {State.Revision, Change.Operator,
+                                    !Change.Text};
+  State.History.push_back(
+      {State.Revision, Change.Name, Change.Operator, Change.RequestId,
+       !Change.Text, Change.Text ? Change.Text->size() : 0, Change.ProposedMs});
+  State.Cache = std::move(Cache);
+  trimRecords(State);
+}
+
+ChangeResult decide(ConfigState &State, const ChangeFile &Change) {
+  if (Change.ExpectedRevision < State.Revision)
+    return conflictWithWinner(State, Change.ExpectedRevision);
+  if (const std::optional<Error> Failure = checkExpectation(State, Change))
+    return rejected(State, *Failure);
+  Result<ConfigCache> Cache =
+      cacheWith(State.Cache, {{Change.Name, Change.Text}});
+  if (isError(Cache))
+    return rejected(State, errorOf(Cache));
+  accept(State, Change, takeValue(std::move(Cache)));
+  return {ChangeOutcome::Accepted, State.Revision, Change.Operator,
+          State.Revision, Error{}};
+}
+
+} // namespace
+
+ChangeResult applyChange(ConfigState &State, const ChangeFile &Change) {
+  if (const std::optional<Error> Failure = checkIdentity(Change))
+    return rejected(State, *Failure);
+  const std::string Digest = digestOf(Change);
+  const auto Earlier =
+      std::ranges::find_if(State.Decided, [&](const DecidedRequest &Request) {
+        return Request.Operator == Change.Operator &&
+               Request.RequestId == Change.RequestId;
+      });
+  if (Earlier == State.Decided.end()) {
+    ChangeResult Result = decide(State, Change);
+    State.Decided.push_back(
+        {Change.Operator, Change.RequestId, Digest, Result});
+    trimRecords(State);
+    return Result;
+  }
+  if (Earlier->ContentDigest == Digest)
+    return Earlier->Result;
+  return rejected(State, Error{ErrorKind::BadKey,
+                               "request id \"" + Change.RequestId +
+                                   "\" was used for another change",
+                               "choose a new random request id"});
+}
+
+std::string encodeState(const ConfigState &State) {
+  const std::string Payload = encode(State);
+  return std::string(bytesOf(sha256(Payload))) + Payload;
+}
+
+Result<ConfigState> decodeState(std::string_view Bytes) {
+  const Error Corrupt{
+      ErrorKind::CorruptData, "the stored configuration is damaged",
+      "remove this copy and let the VM catch up from its peers"};
+  const std::size_t DigestBytes = Digest{}.size();
+  if (Bytes.size() < DigestBytes)
+    return Corrupt;
+  const std::string_view Payload = Bytes.substr(DigestBytes);
+  if (bytesOf(sha256(Payload)) != Bytes.substr(0, DigestBytes))
+    return Corrupt;
+  Result<ConfigState> Decoded = decode<ConfigState>(Payload);
+  if (isError(Decoded))
+    return errorOf(Decoded);
+  ConfigState State = takeValue(std::move(Decoded));
+  if (State.Files.empty())
+    return State;
+  Result<ConfigCache> Cache =
+      cacheWith({}, FileChanges(State.Files.begin(), State.Files.end()));
+  if (isError(Cache))
+    return Error{ErrorKind::CorruptData, describe(errorOf(Cache)),
+                 Corrupt.Remedy};
+  State.Cache = takeValue(std::move(Cache));
+  return State;
+}
+
+} // namespace sapphiremoor
--- /dev/null
+++ b/src/configuration/internal/jsonnode.h
@@ -0,0 +1,48 @@
+#ifndef SAPPHIREMOOR_CONFIGURATION_INTERNAL_JSONNODE_H
+#define SAPPHIREMOOR_CONFIGURATION_INTERNAL_JSONNODE_H
+
+#include "framework/core/result.h"
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace sapphiremoor {
+
+/// A JSON value that knows where it stands in its text. nlohmann's own document
+/// type keeps no positions, which error messages need.
+struct JsonNode {
+  enum class Kind { Null, Boolean, Number, Text, List, Object };
+
+  Kind Type = Kind::Null;
+  /// Byte offset of the value, or of its key if it is a member of an object.
+  std::size_t Offset = 0;
+  /// Name of a member of an object, otherwise empty.
+  std::string Key;
+  bool Flag = false;
+  double Number = 0;
+  std::string Text;
+  /// Elements of a list or members of an object, in the order of the text.
+  std::vector<JsonNode> Items;
+
+  /// Returns the member named \p Name, or null.
+  const JsonNode *find(std::string_view Name) const;
+};
+
+/// Nesting beyond this depth is refused, because settings need less and deeper
+/// trees would exhaust the stack.
+inline constexpr std::size_t MaxJsonDepth = 16;
+
+/// Returns "FILE:LINE:COLUMN" for the byte at \p Offset of \p Text. Columns
+/// count UTF-8 characters.
+std::string placeOf(std::string_view Text, const std::string &FileName,
+                    std::size_t Offset);
+
+/// Parses JSON with comments. Broken JSON gives BadJson, a key that is given
+/// twice in one object gives Contradiction.
+Result<JsonNode> parseJson(std::string_view Text, const std::string &FileName);
+
+} // namespace sapphiremoor
+
+#endif // SAPPHIREMOOR_CONFIGURATION_INTERNAL_JSONNODE_H
--- /dev/null
+++ b/src/configuration/internal/jsonreader.h
@@ -0,0 +1,74 @@
+#ifndef SAPPHIREMOOR_CONFIGURATION_INTERNAL_JSONREADER_H
+#define SAPPHIREMOOR_CONFIGURATION_INTERNAL_JSONREADER_H
+
+#include "configuration/internal/jsonnode.h"
+#include "framework/core/time.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace sapphiremoor {
+
+/// The values that a number may take, both ends included.
+struct NumberRange {
+  double Low = 0;
+  double High = 0;
+  /// For example "ms" or "bytes"; empty for plain counts.
+  std::string_view Unit;
+};
+
+/// Reads typed values out of a JSON tree and keeps the first error. After an
+/// error the functions return default values, so that callers check once, at
+/// the end. \c Path names a value in messages, for example "limits.max_tasks".
+class JsonReader {
+public:
+  JsonReader(std::string_view Text, std::string FileName);
+
+  /// Records an error at \p Node unless there is one already.
+  void fail(ErrorKind Kind, const JsonNode &Node, const std::string &Message,
+            std::string Remedy);
+  const std::optional<Error> &failure() const { return Failure; }
+  /// Returns the place of \p Node as "FILE:LINE:COLUMN".
+  std::string place(const JsonNode &Node) const;
+
+  /// Checks that \p Node is an object whose keys are all in \p Known.
+  bool isObject(const JsonNode &Node, const std::string &Path,
+                const std::vector<std::string> &Known);
+  /// Checks that \p Node has the type \p Type, called \p TypeName in messages.
+  bool isType(const JsonNode &Node, const std::string &Path,
+              JsonNode::Kind Type, const std::string &TypeName);
+  /// Returns the member \p Key of \p Object; reports MissingKey if absent.
+  const JsonNode *require(const JsonNode &Object, const std::string &Path,
+                          const std::string &Key);
+
+  bool readFlag(const JsonNode &Node, const std::string &Path);
+  /// Reads a text of 1 to 4,096 bytes.
+  std::string readText(const JsonNode &Node, const std::string &Path);
+  /// Reads a name: lower-case letters, digits, '-', '_', '.', 1 to 63 of them.
+  std::string readName(const JsonNode &Node, const std::string &Path);
+  double readNumber(const JsonNode &Node, const std::string &Path,
+                    const NumberRange &Range);
+  uint64_t readInteger(const JsonNode &Node, const std::string &Path,
+                       const NumberRange &Range);
+  /// Reads milliseconds, which may have a fraction.
+  Duration readMilliseconds(const JsonNode &Node, const std::string &Path,
+                            const NumberRange &Range);
+  /// Checks \p Name as readName() does.
+  bool isName(const JsonNode &Node, const std::string &Name,
+              const std::string &Path);
+
+private:
+  std::string_view Text;
+  std::string FileName;
+  std::optional<Error> Failure;
+};
+
+/// Returns \p Path with \p Key appended after a dot.
+std::string pathTo(const std::string &Path, const std::string &Key);
+
+} // namespace sapphiremoor
+
+#endif // SAPPHIREMOOR_CONFIGURATION_INTERNAL_JSONREADER_H
--- /dev/null
+++ b/src/configuration/internal/limitsreader.cpp
@@ -0,0 +1,89 @@
+#include "configuration/internal/limitsreader.h"
+
+#include <array>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace sapphiremoor {
+
+namespace {
+
+/// The member of Limits that a setting sets; its type selects the conversion.
+using LimitMember =
+    std::variant<uint32_t Limits::*, std::size_t Limits::*, Duration Limits::*>;
+
+struct LimitRule {
+  std::string_view Name;
+  LimitMember Member;
+  NumberRange Range;
+};
+
+constexpr double KiB = 1024;
+constexpr double MiB = 1024 * KiB;
+constexpr double Minute = 60'000;
+constexpr double Hour = 60 * Minute;
+
+const std::array<LimitRule, 15> Rules{{
+    {"max_tasks", &Limits::MaxTasks, {1, 1600, "tasks"}},
+    {"body_bytes", &Limits::BodyBytes, {KiB, 8 * MiB, "bytes"}},
+    {"header_bytes", &Limits::HeaderBytes, {KiB, MiB, "bytes"}},
+    {"header_timeout_ms", &Limits::HeaderTimeout, {100, Minute, "ms"}},
+    {"queue_tasks", &Limits::QueueTasks, {1, 1'000'000, "tasks"}},
+    {"answers_ms", &Limits::AnswersKept, {1000, 24 * Hour, "ms"}},
+    {"answers_bytes", &Limits::AnswersBytes, {MiB, 1024 * MiB, "bytes"}},
+    {"prefix_ms", &Limits::PrefixKept, {1000, 24 * Hour, "ms"}},
+    {"heartbeat_ms", &Limits::Heartbeat, {50, 10'000, "ms"}},
+    {"peer_silent_ms", &Limits::PeerSilent, {150, Minute, "ms"}},
+    {"claim_timeout_ms", &Limits::ClaimTimeout, {10, 10'000, "ms"}},
+    {"connect_timeout_ms", &Limits::ConnectTimeout, {10, 10'000, "ms"}},
+    {"idle_connection_ms", &Limits::IdleConnection, {10, Minute, "ms"}},
+    {"task_timeout_ms", &Limits::TaskTimeout, {100, 10 * Minute, "ms"}},
+    {"dispatch_groups", &Limits::DispatchGroups, {1, 64, "groups"}},
+}};
+
+std::vector<std::string> ruleNames() {
+  std::vector<std::string> Names;
+  for (const LimitRule &Rule : Rules)
+    Names.emplace_back(Rule.Name);
+  return Names;
+}
+
+struct LimitSetter {
+  JsonReader &Reader;
+  const JsonNode &Node;
+  const std::string &Path;
+  const NumberRange &Range;
+  Limits &Target;
+
+  void operator()(Duration Limits::*Member) const {
+    Target.*Member = Reader.readMilliseconds(Node, Path, Range);
+  }
+  template <typename T> void operator()(T Limits::*Member) const {
+    Target.*Member = static_cast<T>(Reader.readInteger(Node, Path, Range));
+  }
+};
+
+} // namespace
+
+Limits readLimits(JsonReader &Reader, const JsonNode &Node) {
+  Limits Parsed;
+  if (!Reader.isObject(Node, "limits", ruleNames()))
+    return Parsed;
+  for (const LimitRule &Rule : Rules) {
+    const JsonNode *Value = Node.find(Rule.Name);
+    const std::string Path = pathTo("limits", std::string(Rule.Name));
+    if (Value != nullptr)
+      std::visit(LimitSetter{Reader, *Value, Path, Rule.Range, Parsed},
+                 Rule.Member);
+  }
+  // One lost heartbeat alone must not make a peer count as silent.
+  if (Parsed.PeerSilent < 2 * Parsed.Heartbeat)
+    Reader.fail(ErrorKind::OutOfRange, Node,
+                "limits.peer_silent_ms is less than twice heartbeat_ms",
+                "raise peer_silent_ms or lower heartbeat_ms");
+  return Parsed;
+}
+
+} // namespace sapphiremoor
--- /dev/null
+++ b/src/configuration/internal/servicefiles.cpp
@@ -0,0 +1,157 @@
+#include "configuration/servicefiles.h"
+
+#include "configuration/internal/configcache.h"
+#include "configuration/internal/jsonreader.h"
+
+#include <algorithm>
+
+namespace sapphiremoor {
+
+namespace {
+
+constexpr std::size_t MaxFileNameBytes = 100;
+constexpr NumberRange RunTimeRange{1, 60'000, "ms"};
+constexpr NumberRange LatencyRange{1, 600'000, "ms"};
+/// An objective of 1 leaves no error budget to divide by.
+constexpr NumberRange ObjectiveRange{0.5, 0.999999, ""};
+constexpr NumberRange ShareRange{0.001, 1'000'000, ""};
+
+bool isFileNameCharacter(char C) {
+  return (C >= 'a' && C <= 'z') || (C >= '0' && C <= '9') || C == '-' ||
+         C == '_';
+}
+
+Weight readWeight(JsonReader &Reader, const JsonNode &Node,
+                  const std::string &Path) {
+  const std::string Name = Reader.readText(Node, Path);
+  if (Name == "messages")
+    return Weight::Messages;
+  if (Name != "response_time")
+    Reader.fail(ErrorKind::OutOfRange, Node,
+                Path + " is \"" + Name +
+                    "\", allowed are \"response_time\" and \"messages\"",
+                "choose one of the two");
+  return Weight::ResponseTime;
+}
+
+void readObjectives(JsonReader &Reader, const JsonNode &Node,
+                    const std::string &Path, ServiceEntry &Entry) {
+  if (!Reader.isObject(Node, Path,
+                       {"availability", "latency_ms", "latency_share"}))
+    return;
+  if (const JsonNode *Value = Node.find("availability"))
+    Entry.Availability =
+        Reader.readNumber(*Value, pathTo(Path, "availability"), ObjectiveRange);
+  if (const JsonNode *Value = Node.find("latency_ms"))
+    Entry.Latency = Reader.readMilliseconds(*Value, pathTo(Path, "latency_ms"),
+                                            LatencyRange);
+  if (const JsonNode *Value = Node.find("latency_share"))
+    Entry.LatencyShare = Reader.readNumber(
+        *Value, pathTo(Path, "latency_share"), ObjectiveRange);
+}
+
+ServiceEntry readService(JsonReader &Reader, const JsonNode &Node,
+                         const std::string &Path) {
+  ServiceEntry Entry;
+  Entry.Place = Reader.place(Node);
+  if (!Reader.isObject(
+          Node, Path,
+          {"idempotent", "weight", "declared_ms", "objectives", "override"}))
+    return Entry;
+  if (const JsonNode *Value = Node.find("idempotent"))
+    Entry.Idempotent = Reader.readFlag(*Value, pathTo(Path, "idempotent"));
+  if (const JsonNode *Value = Node.find("weight"))
+    Entry.Preference = readWeight(Reader, *Value, pathTo(Path, "weight"));
+  if (const JsonNode *Value = Node.find("declared_ms"))
+    Entry.DeclaredRunTime = Reader.readMilliseconds(
+        *Value, pathTo(Path, "declared_ms"), RunTimeRange);
+  if (const JsonNode *Value = Node.find("objectives"))
+    readObjectives(Reader, *Value, pathTo(Path, "objectives"), Entry);
+  if (const JsonNode *Value = Node.find("override"))
+    Entry.Override = Reader.readFlag(*Value, pathTo(Path, "override"));
+  return Entry;
+}
+
+TeamEntry readTeam(JsonReader &Reader, const JsonNode &Node,
+                   const std::string &Path) {
+  TeamEntry Entry;
+  Entry.Place = Reader.place(Node);
+  if (!Reader.isObject(Node, Path, {"share", "override"}))
+    return Entry;
+  if (const JsonNode *Value = Node.find("share"))
+    Entry.Share = Reader.readNumber(*Value, pathTo(Path, "share"), ShareRange);
+  if (const JsonNode *Value = Node.find("override"))
+    Entry.Override = Reader.readFlag(*Value, pathTo(Path, "override"));
+  return Entry;
+}
+
+/// Reads the object \p Key of \p Root, whose members \p ReadEntry reads.
+template <typename Entry, typename Function>
+void readEntries(JsonReader &Reader, const JsonNode &Root,
+                 const std::string &Key, Function ReadEntry,
+                 std::map<std::string, Entry> &Target) {
+  const JsonNode *Object = Root.find(Key);
+  if (Object == nullptr ||
+      !Reader.isType(*Object, Key, JsonNode::Kind::Object, "an object"))
+    return;
+  for (const JsonNode &Node : Object->Items) {
+    const std::string Path = pathTo(Key, Node.Key);
+    if (Reader.isName(Node, Node.Key, Path))
+      Target[Node.Key] = ReadEntry(Reader, Node, Path);
+  }
+}
+
+} // namespace
+
+Result<Done> checkFileName(const std::string &Name) {
+  constexpr std::string_view Suffix = ".json";
+  const std::string_view Stem = std::string_view(Name).substr(
+      0, Name.size() - std::min(Suffix.size(), Name.size()));
+  if (Name.size() <= MaxFileNameBytes && Name.ends_with(Suffix) &&
+      !Stem.empty() && std::ranges::all_of(Stem, isFileNameCharacter))
+    return Done{};
+  return Error{ErrorKind::BadRequest,
+               "\"" + Name.substr(0, MaxFileNameBytes) +
+                   "\" is not a valid configuration file name",
+               "use lower-case letters, digits, '-' and '_', end in \".json\", "
+               "and use at most " +
+                   std::to_string(MaxFileNameBytes) + " characters"};
+}
+
+Result<ServiceFile> parseServiceFile(std::string_view Text,
+                                     const std::string &FileName) {
+  const Result<Done> NameCheck = checkFileName(FileName);
+  if (isError(NameCheck))
+    return errorOf(NameCheck);
+  if (Text.size() > MaxFileBytes)
+    return Error{ErrorKind::TooLarge,
+                 FileName + " has " + std::to_string(Text.size()) +
+                     " bytes, allowed are " + std::to_string(MaxFileBytes) +
+                     " bytes",
+                 "split it into several files"};
+  const Result<JsonNode> Parsed = parseJson(Text, FileName);
+  if (isError(Parsed))
+    return errorOf(Parsed);
+  JsonReader Reader(Text, FileName);
+  const JsonNode &Root = valueOf(Parsed);
+  ServiceFile File;
+  File.TextBytes = Text.size();
+  if (Reader.isObject(Root, "", {"services", "teams"})) {
+    readEntries(Reader, Root, "services", readService, File.Services);
+    readEntries(Reader, Root, "teams", readTeam, File.Teams);
+  }
+  if (Reader.failure())
+    return *Reader.failure();
+  return File;
+}
+
+Result<ServiceConfig>
+mergeConfiguration(const std::map<std::string, std::string> &Files) {
+  Result<ConfigCache> Cache =
+      cacheWith({}, FileChanges(Files.begin(), Files.end()));
+  if (isError(Cache))
+    return errorOf(Cache);
+  return takeValue(std::move(Cache)).Merged;
+}
+
+} // namespace sapphiremoor
--- /dev/null
+++ b/src/configuration/types/configstate.h
@@ -0,0 +1,106 @@
+#ifndef SAPPHIREMOOR_CONFIGURATION_TYPES_CONFIGSTATE_H
+#define SAPPHIREMOOR_CONFIGURATION_TYPES_CONFIGSTATE_H
+
+#include "configuration/types/changeresult.h"
+#include "configuration/types/serviceconfig.h"
+#include "configuration/types/servicefile.h"
+
+#include <cereal/types/deque.hpp>
+
+#include <compare>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+
+namespace sapphiremoor {
+
+/// The last accepted change of one file, which may have removed it.
+struct FileChange {
+  uint64_t Revision = 0;
+  std::string Operator;
+  bool Removed = false;
+
+  auto operator<=>(const FileChange &) const = default;
+
+  template <typename Archive> void serialize(Archive &Ar) {
+    Ar(Revision, Operator, Removed);
+  }
+};
+
+/// One accepted change, for the history.
+struct ChangeRecord {
+  uint64_t Revision = 0;
+  std::string Name;
+  std::string Operator;
+  std::string RequestId;
+  bool Removed = false;
+  /// Size of the new text.
+  uint64_t Bytes = 0;
+  int64_t ProposedMs = 0;
+
+  auto operator<=>(const ChangeRecord &) const = default;
+
+  template <typename Archive> void serialize(Archive &Ar) {
+    Ar(Revision, Name, Operator, RequestId, Removed, Bytes, ProposedMs);
+  }
+};
+
+/// A request that was decided, kept so that a resend gets the same result.
+struct DecidedRequest {
+  std::string Operator;
+  std::string RequestId;
+  /// SHA-256 of the command's content: the same id with other content is no
+  /// resend.
+  std::string ContentDigest;
+  ChangeResult Result;
+
+  auto operator<=>(const DecidedRequest &) const = default;
+
+  template <typename Archive> void serialize(Archive &Ar) {
+    Ar(Operator, RequestId, ContentDigest, Result);
+  }
+};
+
+/// Values that follow from the files; they are neither stored nor compared.
+struct ConfigCache {
+  std::map<std::string, std::shared_ptr<const ServiceFile>> Parsed;
+  /// The configuration in force; empty at revision 0.
+  ServiceConfig Merged;
+
+  std::strong_ordering operator<=>(const ConfigCache &) const {
+    return std::strong_ordering::equal;
+  }
+  bool operator==(const ConfigCache &) const { return true; }
+};
+
+/// The replicated configuration: files and everything that decides changes.
+/// Change it only through applyChange() and adoptChunk().
+struct ConfigState {
+  /// Text by file name.
+  std::map<std::string, std::string> Files;
+  /// Number of accepted changes.
+  uint64_t Revision = 0;
+  /// Last change by file name, removed files included.
+  std::map<std::string, FileChange> LastChanges;
+  /// Removals up to this revision may have been forgotten, so that changes
+  /// since an older revision cannot be told.
+  uint64_t OldestKnown = 0;
+  /// Oldest first.
+  std::deque<ChangeRecord> History;
+  /// Oldest first.
+  std::deque<DecidedRequest> Decided;
+  ConfigCache Cache;
+
+  auto operator<=>(const ConfigState &) const = default;
+
+  template <typename Archive> void serialize(Archive &Ar) {
+    Ar(Files, Revision, LastChanges, OldestKnown, History, Decided);
+  }
+};
+
+} // namespace sapphiremoor
+
+#endif // SAPPHIREMOOR_CONFIGURATION_TYPES_CONFIGSTATE_H
--- /dev/null
+++ b/src/configuration/types/settings.h
@@ -0,0 +1,80 @@
+#ifndef SAPPHIREMOOR_CONFIGURATION_TYPES_SETTINGS_H
+#define SAPPHIREMOOR_CONFIGURATION_TYPES_SETTINGS_H
+
+#include "framework/core/time.h"
+
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace sapphiremoor {
+
+/// An address (host name or IP) and a TCP port.
+struct Endpoint {
+  std::string Address;
+  uint16_t Port = 0;
+
+  auto operator<=>(const Endpoint &) const = default;
+};
+
+/// Another entry VM and where it accepts peer links.
+struct PeerSettings {
+  std::string Name;
+  std::string DataCentre;
+  Endpoint Address;
+
+  auto operator<=>(const PeerSettings &) const = default;
+};
+
+/// Sizes and times that bound what one daemon accepts and keeps.
+struct Limits {
+  uint32_t MaxTasks = 1600;
+  std::size_t BodyBytes = std::size_t{8} << 20;
+  std::size_t HeaderBytes = std::size_t{16} << 10;
+  Duration HeaderTimeout = std::chrono::seconds(5);
+  /// About 6 s of work at the largest share of one dispatcher (42,000 starts
+  /// per second over 5 data centres).
+  uint32_t QueueTasks = 50'000;
+  Duration AnswersKept = std::chrono::minutes(15);
+  std::size_t AnswersBytes = std::size_t{32} << 20;
+  Duration PrefixKept = std::chrono::hours(1);
+  Duration Heartbeat = std::chrono::seconds(1);
+  Duration PeerSilent = std::chrono::seconds(3);
+  Duration ClaimTimeout = std::chrono::milliseconds(500);
+  Duration ConnectTimeout = std::chrono::milliseconds(300);
+  Duration IdleConnection = std::chrono::seconds(2);
+  Duration TaskTimeout = std::chrono::seconds(30);
+  uint32_t DispatchGroups = 1;
+
+  auto operator<=>(const Limits &) const = default;
+};
+
+/// The settings of one VM. A value of this type is built once, by
+/// parseSettings(), and is passed on as a constant.
+struct Settings {
+  std::string Name;
+  std::string DataCentre;
+  Endpoint Http;
+  Endpoint Peer;
+  /// The other VMs; an entry for this VM itself is left out.
+  std::vector<PeerSettings> Peers;
+  /// Names of the voters, of which this VM may be one.
+  std::vector<std::string> Voters;
+  /// Absent on a VM without a disk.
+  std::optional<std::string> DataFolder;
+  std::string ClusterKeyFile;
+  std::string TokensFolder;
+  /// Time one way from this VM's data centre to each named one.
+  std::map<std::string, Duration> Hops;
+  struct Limits Limits;
+
+  auto operator<=>(const Settings &) const = default;
+};
+
+} // namespace sapphiremoor
+
+#endif // SAPPHIREMOOR_CONFIGURATION_TYPES_SETTINGS_H
