--- a/src/framework/net/backendclient.h
+++ b/src/framework/net/backendclient.h
@@ -1,9 +1,9 @@
 #ifndef SAPPHIREMOOR_FRAMEWORK_NET_BACKENDCLIENT_H
 #define SAPPHIREMOOR_FRAMEWORK_NET_BACKENDCLIENT_H
 
+#include "framework/core/types/endpoint.h"
 #include "framework/net/eventloop.h"
 #include "framework/net/httpcall.h"
-#include "framework/net/types/endpoint.h"
 
 #include <list>
 #include <map>
--- a/src/framework/net/httpcall.h
+++ b/src/framework/net/httpcall.h
@@ -1,9 +1,9 @@
 #ifndef SAPPHIREMOOR_FRAMEWORK_NET_HTTPCALL_H
 #define SAPPHIREMOOR_FRAMEWORK_NET_HTTPCALL_H
 
+#include "framework/core/types/endpoint.h"
 #include "framework/net/eventloop.h"
 #include "framework/net/timer.h"
-#include "framework/net/types/endpoint.h"
 #include "framework/net/types/httpmessage.h"
 
 #include <functional>
--- a/src/framework/net/httpserver.h
+++ b/src/framework/net/httpserver.h
@@ -2,9 +2,9 @@
 #define SAPPHIREMOOR_FRAMEWORK_NET_HTTPSERVER_H
 
 #include "framework/core/result.h"
+#include "framework/core/types/endpoint.h"
 #include "framework/net/eventloop.h"
 #include "framework/net/timer.h"
-#include "framework/net/types/endpoint.h"
 #include "framework/net/types/httpmessage.h"
 
 #include <cstddef>
--- a/src/framework/net/internal/sockets.h
+++ b/src/framework/net/internal/sockets.h
@@ -3,7 +3,7 @@
 
 #include "framework/core/result.h"
 #include "framework/core/time.h"
-#include "framework/net/types/endpoint.h"
+#include "framework/core/types/endpoint.h"
 
 #include <netinet/in.h>
 
--- a/src/framework/net/peernetwork.h
+++ b/src/framework/net/peernetwork.h
@@ -2,10 +2,10 @@
 #define SAPPHIREMOOR_FRAMEWORK_NET_PEERNETWORK_H
 
 #include "framework/core/result.h"
+#include "framework/core/types/endpoint.h"
 #include "framework/core/types/vmid.h"
 #include "framework/net/eventloop.h"
 #include "framework/net/timer.h"
-#include "framework/net/types/endpoint.h"
 
 #include <functional>
 #include <map>
--- a/src/gateway/internal/jobrequest.cpp
+++ b/src/gateway/internal/jobrequest.cpp
@@ -1,3 +1,4 @@
+#include "claims/keytext.h"
 #include "framework/codec/serial.h"
 #include "framework/core/text.h"
 #include "gateway/jobparser.h"
@@ -110,11 +111,11 @@
   }
 }
 
-Digest bodyDigest(const JobRequest &Job) {
+BodyDigest bodyDigest(const JobRequest &Job) {
   // The deadline may differ between a submission and its resubmission.
   JobRequest Identity = Job;
   Identity.DeadlineMicros = 0;
-  return sha256(encode(Identity));
+  return bodyDigest(encode(Identity));
 }
 
 } // namespace sapphiremoor
--- a/src/gateway/jobparser.h
+++ b/src/gateway/jobparser.h
@@ -1,7 +1,7 @@
 #ifndef SAPPHIREMOOR_GATEWAY_JOBPARSER_H
 #define SAPPHIREMOOR_GATEWAY_JOBPARSER_H
 
-#include "framework/codec/crypto.h"
+#include "claims/types/jobkey.h"
 #include "framework/core/result.h"
 #include "framework/core/time.h"
 #include "gateway/types/jobrequest.h"
@@ -25,7 +25,7 @@
                                    const JobLimits &Limits);
 
 /// Returns the digest that tells two bodies under one key apart.
-Digest bodyDigest(const JobRequest &Job);
+BodyDigest bodyDigest(const JobRequest &Job);
 
 } // namespace sapphiremoor
 
