Bound and sanitize what configuration errors quote

Cause: messages quoted keys and tokens in full; they may be long or hold broken UTF-8, which the JSON writer of the answers refuses. Computing a place read the text from its start for each service. Ruled out: replacing bytes where answers are written, because log lines have the same problem. Change: quoted text is cut to 160 printable ASCII characters; request ids and operators' names must be printable; TextPlace continues from the last offset; the bounds on history and removals keep a whole configuration within 8 MB.

--- a/src/configuration/configstate.h
+++ b/src/configuration/configstate.h
@@ -13,15 +13,20 @@
 
 namespace sapphiremoor {
 
+/// Largest size of a request id and of an operator's name. This and the next
+/// three bounds keep a whole configuration within one frame of 8 MB between
+/// VMs.
+inline constexpr std::size_t MaxIdBytes = 64;
+
 /// Number of decided requests kept for resends: over a day of changes at 2,600
 /// a day.
 inline constexpr std::size_t MaxDecided = 4096;
 
-/// Number of history records kept: nearly two days of changes.
-inline constexpr std::size_t MaxHistory = 5000;
+/// Number of history records kept: a day and a half of changes.
+inline constexpr std::size_t MaxHistory = 4000;
 
 /// Number of removed files remembered for changesSince().
-inline constexpr std::size_t MaxRemovals = 5000;
+inline constexpr std::size_t MaxRemovals = 2000;
 
 /// Applies one committed change. Every replica that applies the same changes in
 /// the same order reaches the same state and the same results.
--- a/src/configuration/internal/configstate.cpp
+++ b/src/configuration/internal/configstate.cpp
@@ -2,6 +2,7 @@
 
 #include "configuration/internal/configcache.h"
 #include "configuration/internal/configrecords.h"
+#include "configuration/internal/shown.h"
 #include "framework/codec/crypto.h"
 #include "framework/codec/serial.h"
 
@@ -12,8 +13,6 @@
 
 namespace {
 
-constexpr std::size_t MaxIdBytes = 128;
-
 ChangeResult rejected(const ConfigState &State, Error Reason) {
   return {ChangeOutcome::Rejected, 0, "", State.Revision, std::move(Reason)};
 }
@@ -27,13 +26,14 @@
 
 std::optional<Error> checkIdentity(const ChangeFile &Change) {
   const auto IsValid = [](const std::string &Id) {
-    return !Id.empty() && Id.size() <= MaxIdBytes;
+    return !Id.empty() && Id.size() <= MaxIdBytes && isPrintable(Id);
   };
   if (IsValid(Change.RequestId) && IsValid(Change.Operator))
     return std::nullopt;
   return Error{ErrorKind::BadRequest,
                "the request id and the operator's name must have 1 to " +
-                   std::to_string(MaxIdBytes) + " bytes",
+                   std::to_string(MaxIdBytes) +
+                   " printable ASCII characters without spaces",
                "choose a new random request id for each change"};
 }
 
@@ -68,8 +68,8 @@
                  "read the revision in force and submit the change again"};
   if (!Change.Text && !State.Files.contains(Change.Name))
     return Error{ErrorKind::NotFound,
-                 "there is no configuration file \"" +
-                     Change.Name.substr(0, MaxIdBytes) + "\" to remove",
+                 "there is no configuration file \"" + shown(Change.Name) +
+                     "\" to remove",
                  "list the files in force"};
   return std::nullopt;
 }
--- a/src/configuration/internal/jsonbuilder.cpp
+++ b/src/configuration/internal/jsonbuilder.cpp
@@ -1,5 +1,8 @@
 #include "configuration/internal/jsonbuilder.h"
 
+#include "configuration/internal/shown.h"
+#include "configuration/internal/textplace.h"
+
 #include <algorithm>
 #include <istream>
 #include <utility>
@@ -108,7 +111,7 @@
 bool JsonBuilder::end_object() {
   if (const JsonNode *Repeated = findRepeatedMember(*Open.back()))
     return fail(ErrorKind::Contradiction, Repeated->Offset,
-                "\"" + Repeated->Key + "\" is given twice",
+                "\"" + shown(Repeated->Key) + "\" is given twice",
                 "remove one of the two");
   return close();
 }
@@ -124,7 +127,7 @@
                               const nlohmann::json::exception &Cause) {
   const std::size_t End = std::min(Position, Text.size());
   const std::size_t Length = std::min(lengthOf(LastToken), End);
-  return fail(ErrorKind::BadJson, End - Length, descriptionOf(Cause),
+  return fail(ErrorKind::BadJson, End - Length, shown(descriptionOf(Cause)),
               "correct the JSON at this place");
 }
 
@@ -175,7 +178,7 @@
 bool JsonBuilder::fail(ErrorKind Kind, std::size_t Offset,
                        const std::string &Message, std::string Remedy) {
   if (!Failure)
-    Failure = Error{Kind, placeOf(Text, FileName, Offset) + ": " + Message,
+    Failure = Error{Kind, TextPlace(Text, FileName).at(Offset) + ": " + Message,
                     std::move(Remedy)};
   return false;
 }
--- a/src/configuration/internal/jsonnode.h
+++ b/src/configuration/internal/jsonnode.h
@@ -34,11 +34,6 @@
 /// trees would exhaust the stack.
 inline constexpr std::size_t MaxJsonDepth = 16;
 
-/// Returns "FILE:LINE:COLUMN" for the byte at \p Offset of \p Text. Columns
-/// count UTF-8 characters.
-std::string placeOf(std::string_view Text, const std::string &FileName,
-                    std::size_t Offset);
-
 /// Parses JSON with comments. Broken JSON gives BadJson, a key that is given
 /// twice in one object gives Contradiction.
 Result<JsonNode> parseJson(std::string_view Text, const std::string &FileName);
--- a/src/configuration/internal/jsonreader.cpp
+++ b/src/configuration/internal/jsonreader.cpp
@@ -1,5 +1,6 @@
 #include "configuration/internal/jsonreader.h"
 
+#include "configuration/internal/shown.h"
 #include "framework/core/text.h"
 
 #include <algorithm>
@@ -64,7 +65,7 @@
 }
 
 JsonReader::JsonReader(std::string_view Text, std::string FileName)
-    : Text(Text), FileName(std::move(FileName)) {}
+    : Place(Text, std::move(FileName)) {}
 
 void JsonReader::fail(ErrorKind Kind, const JsonNode &Node,
                       const std::string &Message, std::string Remedy) {
@@ -72,8 +73,8 @@
     Failure = Error{Kind, place(Node) + ": " + Message, std::move(Remedy)};
 }
 
-std::string JsonReader::place(const JsonNode &Node) const {
-  return placeOf(Text, FileName, Node.Offset);
+std::string JsonReader::place(const JsonNode &Node) {
+  return Place.at(Node.Offset);
 }
 
 bool JsonReader::isType(const JsonNode &Node, const std::string &Path,
@@ -98,9 +99,10 @@
       });
   if (Unknown == Node.Items.end())
     return true;
-  const auto Nearest = nearestName(Unknown->Key, Known);
+  const std::string Key = shown(Unknown->Key);
+  const auto Nearest = nearestName(Key, Known);
   fail(ErrorKind::UnknownSetting, *Unknown,
-       "unknown setting \"" + pathTo(Path, Unknown->Key) + "\"",
+       "unknown setting \"" + pathTo(Path, Key) + "\"",
        Nearest ? "did you mean \"" + *Nearest + "\"?"
                : "remove it; known here are " + join(Known));
   return false;
@@ -144,7 +146,7 @@
       std::ranges::all_of(Name, isNameCharacter))
     return true;
   fail(ErrorKind::OutOfRange, Node,
-       Path + " is not a valid name: \"" + Name.substr(0, MaxNameBytes) + "\"",
+       "\"" + shown(Name) + "\" is not a valid name for " + Path,
        "use 1 to " + std::to_string(MaxNameBytes) +
            " lower-case letters, digits, '-', '_' or '.'");
   return false;
--- a/src/configuration/internal/jsonreader.h
+++ b/src/configuration/internal/jsonreader.h
@@ -2,6 +2,7 @@
 #define SAPPHIREMOOR_CONFIGURATION_INTERNAL_JSONREADER_H
 
 #include "configuration/internal/jsonnode.h"
+#include "configuration/internal/textplace.h"
 #include "framework/core/time.h"
 
 #include <cstdint>
@@ -32,7 +33,7 @@
             std::string Remedy);
   const std::optional<Error> &failure() const { return Failure; }
   /// Returns the place of \p Node as "FILE:LINE:COLUMN".
-  std::string place(const JsonNode &Node) const;
+  std::string place(const JsonNode &Node);
 
   /// Checks that \p Node is an object whose keys are all in \p Known.
   bool isObject(const JsonNode &Node, const std::string &Path,
@@ -61,8 +62,7 @@
               const std::string &Path);
 
 private:
-  std::string_view Text;
-  std::string FileName;
+  TextPlace Place;
   std::optional<Error> Failure;
 };
 
--- a/src/configuration/internal/servicefiles.cpp
+++ b/src/configuration/internal/servicefiles.cpp
@@ -2,6 +2,7 @@
 
 #include "configuration/internal/configcache.h"
 #include "configuration/internal/jsonreader.h"
+#include "configuration/internal/shown.h"
 
 #include <algorithm>
 
@@ -28,7 +29,7 @@
     return Weight::Messages;
   if (Name != "response_time")
     Reader.fail(ErrorKind::OutOfRange, Node,
-                Path + " is \"" + Name +
+                Path + " is \"" + shown(Name) +
                     "\", allowed are \"response_time\" and \"messages\"",
                 "choose one of the two");
   return Weight::ResponseTime;
@@ -95,9 +96,8 @@
       !Reader.isType(*Object, Key, JsonNode::Kind::Object, "an object"))
     return;
   for (const JsonNode &Node : Object->Items) {
-    const std::string Path = pathTo(Key, Node.Key);
-    if (Reader.isName(Node, Node.Key, Path))
-      Target[Node.Key] = ReadEntry(Reader, Node, Path);
+    if (Reader.isName(Node, Node.Key, Key))
+      Target[Node.Key] = ReadEntry(Reader, Node, pathTo(Key, Node.Key));
   }
 }
 
@@ -111,8 +111,7 @@
       !Stem.empty() && std::ranges::all_of(Stem, isFileNameCharacter))
     return Done{};
   return Error{ErrorKind::BadRequest,
-               "\"" + Name.substr(0, MaxFileNameBytes) +
-                   "\" is not a valid configuration file name",
+               "\"" + shown(Name) + "\" is not a valid configuration file name",
                "use lower-case letters, digits, '-' and '_', end in \".json\", "
                "and use at most " +
                    std::to_string(MaxFileNameBytes) + " characters"};
--- a/src/configuration/internal/settingsreader.cpp
+++ b/src/configuration/internal/settingsreader.cpp
@@ -1,6 +1,7 @@
 #include "configuration/internal/settingsreader.h"
 
 #include "configuration/internal/limitsreader.h"
+#include "configuration/internal/shown.h"
 #include "framework/core/text.h"
 
 #include <algorithm>
@@ -172,11 +173,12 @@
   for (const PeerSettings &Peer : Listed)
     Known.push_back(Peer.DataCentre);
   for (const JsonNode &Hop : Node->Items) {
-    const std::string Path = pathTo("hops", Hop.Key);
+    const std::string Path = pathTo("hops", shown(Hop.Key));
     if (std::ranges::find(Known, Hop.Key) == Known.end())
-      Reader.fail(ErrorKind::UnknownSetting, Hop,
-                  Path + " names a data centre that no VM is in",
-                  suggestion(Hop.Key, Known, "remove it or add its VMs"));
+      Reader.fail(
+          ErrorKind::UnknownSetting, Hop,
+          Path + " names a data centre that no VM is in",
+          suggestion(shown(Hop.Key), Known, "remove it or add its VMs"));
     Parsed.Hops[Hop.Key] = Reader.readMilliseconds(Hop, Path, HopRange);
   }
 }
--- /dev/null
+++ b/src/configuration/internal/textplace.h
@@ -0,0 +1,33 @@
+#ifndef SAPPHIREMOOR_CONFIGURATION_INTERNAL_TEXTPLACE_H
+#define SAPPHIREMOOR_CONFIGURATION_INTERNAL_TEXTPLACE_H
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+
+namespace sapphiremoor {
+
+/// Converts byte offsets of one text to lines and columns. It continues from
+/// the previous offset, so that asking for ascending offsets reads the text
+/// once.
+class TextPlace {
+public:
+  TextPlace(std::string_view Text, std::string FileName);
+
+  /// Returns "FILE:LINE:COLUMN" for the byte at \p Offset. Both count from 1;
+  /// columns count UTF-8 characters.
+  std::string at(std::size_t Offset);
+
+private:
+  void pass(char Byte);
+
+  std::string_view Text;
+  std::string FileName;
+  std::size_t Position = 0;
+  std::size_t Line = 1;
+  std::size_t Column = 1;
+};
+
+} // namespace sapphiremoor
+
+#endif // SAPPHIREMOOR_CONFIGURATION_INTERNAL_TEXTPLACE_H
