Add the benchmark of the placement decisions

Cause: no figure showed how far the placement policy is from its targets. Ruled out: measuring through sockets, which adds noise and says nothing more about the decisions. Change: bench/decisions drives the decisions with a generated trace in simulated time, beside an ideal queue and three baselines over the same traces and seeds (11, 22, 33); it prints the targets of docs/design.md beside the figures.

--- /dev/null
+++ b/bench/decisions/baselines.h
@@ -0,0 +1,22 @@
+#ifndef SAPPHIREMOOR_BENCH_DECISIONS_BASELINES_H
+#define SAPPHIREMOOR_BENCH_DECISIONS_BASELINES_H
+
+#include "outcome.h"
+#include "trace.h"
+
+namespace sapphiremoor::bench {
+
+/// One first-come-first-served queue over \p Slots healthy slots, with perfect
+/// knowledge and without delays.
+RunOutcome runIdeal(const Trace &Jobs, uint32_t Slots);
+
+/// How a VM picks a worker for each task of a job as soon as it arrives. The
+/// tasks beyond the slots queue first-come-first-served at the worker.
+enum class Choice : uint8_t { Random, RoundRobin, LeastOutstanding };
+
+/// Three VMs that share no knowledge, with message delays.
+RunOutcome runBaseline(const Trace &Jobs, Choice Kind, uint64_t Seed);
+
+} // namespace sapphiremoor::bench
+
+#endif // SAPPHIREMOOR_BENCH_DECISIONS_BASELINES_H
--- /dev/null
+++ b/bench/decisions/costs.h
@@ -0,0 +1,18 @@
+#ifndef SAPPHIREMOOR_BENCH_DECISIONS_COSTS_H
+#define SAPPHIREMOOR_BENCH_DECISIONS_COSTS_H
+
+#include <cstdint>
+
+namespace sapphiremoor::bench {
+
+/// Returns the processor time in microseconds of all decisions per task start
+/// (admission, queueing, choice, end) with all slots of \p Workers busy.
+double decisionMicroseconds(uint32_t Workers);
+
+/// Returns the microseconds per task of cancelling 10,000 queued tasks in jobs
+/// of \p TasksPerJob, including the later skip of the dropped entries.
+double cancelMicroseconds(uint32_t TasksPerJob);
+
+} // namespace sapphiremoor::bench
+
+#endif // SAPPHIREMOOR_BENCH_DECISIONS_COSTS_H
--- /dev/null
+++ b/bench/decisions/main.cpp
@@ -0,0 +1,159 @@
+/// \file
+/// Benchmark of the placement decisions. Prints a Markdown table of the targets
+/// of docs/design.md, section 1.5, beside the measured figures.
+
+#include "costs.h"
+#include "scenarios.h"
+
+#include <chrono>
+#include <cstdio>
+#include <string>
+
+namespace {
+
+using namespace sapphiremoor;
+using namespace sapphiremoor::bench;
+
+std::string text(double Value, int Digits) {
+  std::string Buffer(32, '\0');
+  const int Length =
+      std::snprintf(Buffer.data(), Buffer.size(), "%.*f", Digits, Value);
+  Buffer.resize(static_cast<std::size_t>(Length));
+  return Buffer;
+}
+
+void row(const std::string &Measure, const std::string &Target,
+         const std::string &Measured, bool Met) {
+  std::printf("| %s | %s | %s | %s |\n", Measure.c_str(), Target.c_str(),
+              Measured.c_str(), Met ? "met" : "missed");
+}
+
+void rowAtMost(const std::string &Measure, double Target, double Measured,
+               int Digits = 3) {
+  row(Measure, "at most " + text(Target, 2), text(Measured, Digits),
+      Measured <= Target);
+}
+
+void rowAtLeast(const std::string &Measure, double Target, double Measured) {
+  row(Measure, "at least " + text(Target, 2), text(Measured, 3),
+      Measured >= Target);
+}
+
+void tableHead() {
+  std::puts("| measure | target | measured | |");
+  std::puts("|---|---|---|---|");
+}
+
+void printResponses() {
+  std::puts("\n| response / ideal | 70 % mean | p99 | 90 % mean | p99 | "
+            "98 % mean | p99 |");
+  std::puts("|---|---|---|---|---|---|---|");
+  const std::pair<Policy, const char *> Rows[] = {
+      {Policy::Random, "random, 3 VMs"},
+      {Policy::RoundRobin, "round robin, 3 VMs"},
+      {Policy::LeastOutstanding, "least outstanding, 3 VMs"},
+      {Policy::Placement, "placement"}};
+  for (const auto &[Kind, Name] : Rows) {
+    std::printf("| %s |", Name);
+    for (const double Load : {0.7, 0.9, 0.98}) {
+      const ResponseRatio Ratio = responseAtLoad(Kind, Load);
+      std::printf(" %.3f | %.3f |", Ratio.Mean, Ratio.P99);
+    }
+    std::puts("");
+  }
+}
+
+void printTargets() {
+  tableHead();
+  const ResponseRatio At70 = responseAtLoad(Policy::Placement, 0.7);
+  const ResponseRatio At90 = responseAtLoad(Policy::Placement, 0.9);
+  const ResponseRatio At98 = responseAtLoad(Policy::Placement, 0.98);
+  rowAtMost("mean response / ideal at 70 %", 1.03, At70.Mean);
+  rowAtMost("mean response / ideal at 90 %", 1.10, At90.Mean);
+  rowAtMost("mean response / ideal at 98 %", 1.25, At98.Mean);
+  rowAtMost("p99 response / ideal p99 at 90 %", 1.20, At90.P99);
+}
+
+void printWaste() {
+  const WasteFigures Fast = wasteHealthy(ServiceWeight::ResponseTime);
+  const WasteFigures Thrifty = wasteHealthy(ServiceWeight::Messages);
+  const WasteFigures FastFaulty = wasteFaulty(ServiceWeight::ResponseTime);
+  const WasteFigures ThriftyFaulty = wasteFaulty(ServiceWeight::Messages);
+  rowAtMost("wasted messages per task, healthy, weight response time", 0.10,
+            Fast.PerTask, 4);
+  rowAtMost("wasted messages per task, healthy, weight messages", 0.02,
+            Thrifty.PerTask, 4);
+  rowAtMost("wasted messages per task, faulty, weight response time", 0.25,
+            FastFaulty.PerTask, 4);
+  rowAtMost("wasted messages per task, faulty, weight messages", 0.05,
+            ThriftyFaulty.PerTask, 4);
+  rowAtMost("mean response / ideal of survivors, weight response time", 1.30,
+            FastFaulty.MeanRatio);
+  rowAtMost("mean response / ideal of survivors, weight messages", 1.30,
+            ThriftyFaulty.MeanRatio);
+  const uint64_t Repeated = Fast.RepeatedStarts + Thrifty.RepeatedStarts +
+                            FastFaulty.RepeatedStarts +
+                            ThriftyFaulty.RepeatedStarts;
+  row("tasks of submissions that ran twice", "0", std::to_string(Repeated),
+      Repeated == 0);
+  std::printf("| of these: hedges healthy, hedges faulty, refusals faulty | | "
+              "%.4f, %.4f, %.4f | |\n",
+              Fast.Hedges, FastFaulty.Hedges, FastFaulty.Refusals);
+  std::printf("| jobs completed, faulty: each weight | | %.4f, %.4f | |\n",
+              FastFaulty.Completed, ThriftyFaulty.Completed);
+}
+
+void printOverload() {
+  const OverloadFigures Figures = overload();
+  rowAtLeast("goodput / capacity at twice the capacity", 0.95, Figures.Goodput);
+  rowAtLeast("accepted within deadline at twice the capacity", 0.99,
+             Figures.InTime);
+  row("refusals under 10 ms (slowest)", "10 ms",
+      text(Figures.SlowestRefusalMs, 1) + " ms", Figures.SlowestRefusalMs < 10);
+  row("starts of refused jobs", "0", std::to_string(Figures.StartsOfRefused),
+      Figures.StartsOfRefused == 0);
+  std::printf("| refused part of the jobs at twice the capacity | | %.3f | |\n",
+              Figures.Refused);
+}
+
+void printFairness(const char *Others, double Load) {
+  const FairnessFigures Figures = fairness(Load);
+  rowAtMost(std::string("p99 of a team, another at 10 times its quota, ") +
+                Others,
+            1.20, Figures.P99FloodedMs / Figures.P99AloneMs);
+  std::printf("| p99 without and with the flood, %s | | %.0f ms, %.0f ms | |\n",
+              Others, Figures.P99AloneMs, Figures.P99FloodedMs);
+}
+
+void printCosts() {
+  const double Small = decisionMicroseconds(50);
+  const double Large = decisionMicroseconds(940);
+  rowAtMost("decision time per task start, 50 workers, us", 2.0, Small);
+  rowAtMost("decision time per task start, 940 workers, us", 2.0, Large);
+  rowAtMost("decision time, 940 / 50 workers", 1.5, Large / Small);
+  std::printf("| cancelling 10,000 queued tasks, us per task: jobs of 1,000, "
+              "of 1 | | %.4f, %.4f | |\n",
+              cancelMicroseconds(1'000), cancelMicroseconds(1));
+}
+
+} // namespace
+
+int main() {
+  const auto Begin = std::chrono::steady_clock::now();
+  std::printf("Seeds:");
+  for (const uint64_t Seed : Seeds)
+    std::printf(" %llu", static_cast<unsigned long long>(Seed));
+  std::puts("\n");
+  printTargets();
+  printWaste();
+  printOverload();
+  printFairness("other teams silent", 0.0);
+  printFairness("other teams at half their quota", 0.5);
+  printCosts();
+  printResponses();
+  std::printf(
+      "\nRun time %.1f s\n",
+      std::chrono::duration<double>(std::chrono::steady_clock::now() - Begin)
+          .count());
+  return 0;
+}
--- /dev/null
+++ b/bench/decisions/scenarios.cpp
@@ -0,0 +1,204 @@
+#include "scenarios.h"
+#include "baselines.h"
+#include "simulation.h"
+
+#include <algorithm>
+#include <numeric>
+
+namespace sapphiremoor::bench {
+
+namespace {
+
+constexpr Duration Length{300'000'000};
+constexpr Duration WarmUp{30'000'000};
+constexpr Duration FaultsAt{60'000'000};
+constexpr uint32_t TeamCount = 8;
+constexpr uint32_t KilledCount = 3;
+constexpr uint32_t FailAllCount = 2;
+constexpr uint32_t StragglerCount = 3;
+
+double meanOf(const std::vector<Duration> &Values) {
+  const Duration Sum =
+      std::accumulate(Values.begin(), Values.end(), Duration{0});
+  return static_cast<double>(Sum.count()) / static_cast<double>(Values.size());
+}
+
+double percentile99(std::vector<Duration> Values) {
+  const auto Rank = static_cast<std::ptrdiff_t>(Values.size() * 99 / 100);
+  std::ranges::nth_element(Values, Values.begin() + Rank);
+  return static_cast<double>(Values[static_cast<std::size_t>(Rank)].count());
+}
+
+/// Responses of the same jobs under a policy and in the ideal queue.
+struct Pair {
+  std::vector<Duration> Measured;
+  std::vector<Duration> Ideal;
+
+  void add(const Trace &Jobs, const RunOutcome &Run, const RunOutcome &Best,
+           Duration From) {
+    for (std::size_t Job = 0; Job < Jobs.size(); ++Job) {
+      if (Jobs[Job].Arrival < From || Run.Jobs[Job].End != JobEnd::Complete)
+        continue;
+      Measured.push_back(Run.Jobs[Job].Response);
+      Ideal.push_back(Best.Jobs[Job].Response);
+    }
+  }
+};
+
+RunOutcome runPolicy(const Trace &Jobs, Policy Kind, uint64_t Seed) {
+  switch (Kind) {
+  case Policy::Random:
+    return runBaseline(Jobs, Choice::Random, Seed);
+  case Policy::RoundRobin:
+    return runBaseline(Jobs, Choice::RoundRobin, Seed);
+  case Policy::LeastOutstanding:
+    return runBaseline(Jobs, Choice::LeastOutstanding, Seed);
+  case Policy::Placement:
+    break;
+  }
+  return Simulation(Jobs, {.TeamCount = TeamCount}).run();
+}
+
+/// Sums over the runs of all seeds.
+struct Sums {
+  double Messages = 0;
+  double Answered = 0;
+  double Hedges = 0;
+  double Refusals = 0;
+  double Jobs = 0;
+  double Completed = 0;
+  uint64_t Repeated = 0;
+
+  void add(const RunOutcome &Run) {
+    Messages += static_cast<double>(Run.Messages);
+    Answered += static_cast<double>(Run.AnsweredTasks);
+    Hedges += static_cast<double>(Run.Hedges);
+    Refusals += static_cast<double>(Run.Refusals);
+    Jobs += static_cast<double>(Run.Jobs.size());
+    Completed += static_cast<double>(
+        std::ranges::count(Run.Jobs, JobEnd::Complete, &JobOutcome::End));
+    Repeated += Run.RepeatedStarts;
+  }
+};
+
+WasteFigures measureWaste(const SimulationSetup &Setup, double Load,
+                          uint32_t IdealSlots, Duration From) {
+  Sums Total;
+  Pair Responses;
+  for (const uint64_t Seed : Seeds) {
+    const Trace Jobs =
+        generateTrace(equalStreams(TeamCount, Load), Length, Seed);
+    const RunOutcome Run = Simulation(Jobs, Setup).run();
+    Total.add(Run);
+    Responses.add(Jobs, Run, runIdeal(Jobs, IdealSlots), From);
+  }
+  return {.PerTask = (Total.Messages - 2 * Total.Answered) / Total.Answered,
+          .Hedges = 2 * Total.Hedges / Total.Answered,
+          .Refusals = 2 * Total.Refusals / Total.Answered,
+          .MeanRatio = meanOf(Responses.Measured) / meanOf(Responses.Ideal),
+          .Completed = Total.Completed / Total.Jobs,
+          .RepeatedStarts = Total.Repeated};
+}
+
+std::vector<Duration> responsesOfTeam(const Trace &Jobs, const RunOutcome &Run,
+                                      uint32_t Team) {
+  std::vector<Duration> Responses;
+  for (std::size_t Job = 0; Job < Jobs.size(); ++Job)
+    if (Jobs[Job].Team == Team && Jobs[Job].Arrival >= WarmUp &&
+        Run.Jobs[Job].End == JobEnd::Complete)
+      Responses.push_back(Run.Jobs[Job].Response);
+  return Responses;
+}
+
+} // namespace
+
+ResponseRatio responseAtLoad(Policy Kind, double Load) {
+  Pair Responses;
+  for (const uint64_t Seed : Seeds) {
+    const Trace Jobs =
+        generateTrace(equalStreams(TeamCount, Load), Length, Seed);
+    Responses.add(Jobs, runPolicy(Jobs, Kind, Seed), runIdeal(Jobs, SlotCount),
+                  WarmUp);
+  }
+  return {meanOf(Responses.Measured) / meanOf(Responses.Ideal),
+          percentile99(Responses.Measured) / percentile99(Responses.Ideal)};
+}
+
+WasteFigures wasteHealthy(ServiceWeight Weight) {
+  return measureWaste({.Weight = Weight, .TeamCount = TeamCount}, 0.9,
+                      SlotCount, WarmUp);
+}
+
+WasteFigures wasteFaulty(ServiceWeight Weight) {
+  const uint32_t Healthy =
+      WorkerCount - KilledCount - FailAllCount - StragglerCount;
+  return measureWaste({.Weight = Weight,
+                       .TeamCount = TeamCount,
+                       .FaultsAt = FaultsAt,
+                       .Killed = KilledCount,
+                       .FailAll = FailAllCount,
+                       .Stragglers = StragglerCount},
+                      0.7, Healthy * SlotsPerWorker, FaultsAt);
+}
+
+OverloadFigures overload() {
+  OverloadFigures Figures;
+  double Accepted = 0;
+  double InTime = 0;
+  double All = 0;
+  double Work = 0;
+  for (const uint64_t Seed : Seeds) {
+    Trace Jobs = generateTrace(equalStreams(TeamCount, 2.0), Length, Seed);
+    setDeadlines(Jobs, Duration{10'000'000}, Duration{30'000'000}, Seed);
+    const RunOutcome Run = Simulation(Jobs, {.TeamCount = TeamCount}).run();
+    Figures.StartsOfRefused += Run.StartsOfRefused;
+    for (std::size_t Index = 0; Index < Jobs.size(); ++Index) {
+      const JobOutcome &Job = Run.Jobs[Index];
+      const Duration End = Jobs[Index].Arrival + Job.Response;
+      const bool Good =
+          Job.End == JobEnd::Complete && Job.Response <= Jobs[Index].Deadline;
+      // Goodput counts what ends inside the steady part of the run.
+      if (Good && End >= WarmUp && End < Length)
+        for (const Duration RunTime : Jobs[Index].RunTimes)
+          Work += static_cast<double>(RunTime.count());
+      if (Jobs[Index].Arrival < WarmUp)
+        continue;
+      All += 1;
+      Accepted += Job.End == JobEnd::Refused ? 0 : 1;
+      InTime += Good ? 1 : 0;
+      if (Job.End == JobEnd::Refused)
+        Figures.SlowestRefusalMs =
+            std::max(Figures.SlowestRefusalMs,
+                     static_cast<double>(Job.Response.count()) / 1e3);
+    }
+  }
+  Figures.Goodput = Work / (static_cast<double>(Seeds.size()) * SlotCount *
+                            static_cast<double>((Length - WarmUp).count()));
+  Figures.InTime = InTime / Accepted;
+  Figures.Refused = 1 - Accepted / All;
+  return Figures;
+}
+
+FairnessFigures fairness(double OthersLoad) {
+  constexpr uint32_t Teams = 10;
+  constexpr double Quota = 1.0 / Teams;
+  std::vector<Duration> Alone;
+  std::vector<Duration> Flooded;
+  for (const uint64_t Seed : Seeds) {
+    std::vector<Stream> Streams{{0, 0.9 * Quota}};
+    for (uint32_t Team = 2; Team < Teams && OthersLoad > 0; ++Team)
+      Streams.push_back({Team, OthersLoad * Quota});
+    const Trace Without = generateTrace(Streams, Length, Seed);
+    Streams.push_back({1, 10 * Quota});
+    const Trace With = generateTrace(Streams, Length, Seed);
+    const SimulationSetup Setup{.TeamCount = Teams};
+    std::ranges::copy(
+        responsesOfTeam(Without, Simulation(Without, Setup).run(), 0),
+        std::back_inserter(Alone));
+    std::ranges::copy(responsesOfTeam(With, Simulation(With, Setup).run(), 0),
+                      std::back_inserter(Flooded));
+  }
+  return {percentile99(Alone) / 1e3, percentile99(Flooded) / 1e3};
+}
+
+} // namespace sapphiremoor::bench
--- /dev/null
+++ b/bench/decisions/scenarios.h
@@ -0,0 +1,68 @@
+#ifndef SAPPHIREMOOR_BENCH_DECISIONS_SCENARIOS_H
+#define SAPPHIREMOOR_BENCH_DECISIONS_SCENARIOS_H
+
+/// \file
+/// The measurements of the benchmark. Each pools the runs of all seeds.
+
+#include "outcome.h"
+#include "trace.h"
+
+#include "placement/types/servicespec.h"
+
+#include <array>
+#include <cstdint>
+
+namespace sapphiremoor::bench {
+
+inline constexpr std::array<uint64_t, 3> Seeds{11, 22, 33};
+
+enum class Policy : uint8_t { Random, RoundRobin, LeastOutstanding, Placement };
+
+/// Response over that of the ideal queue.
+struct ResponseRatio {
+  double Mean = 0;
+  double P99 = 0;
+};
+
+ResponseRatio responseAtLoad(Policy Kind, double Load);
+
+struct WasteFigures {
+  double PerTask = 0;
+  /// Start or answer messages of hedges and of refused starts, per task.
+  double Hedges = 0;
+  double Refusals = 0;
+  /// Mean response of the completed jobs over the ideal queue of the healthy
+  /// workers, and the part of all jobs that completed.
+  double MeanRatio = 0;
+  double Completed = 0;
+  uint64_t RepeatedStarts = 0;
+};
+
+WasteFigures wasteHealthy(ServiceWeight Weight);
+/// 3 workers killed, 2 failing everything, 3 stragglers, at 70 % load.
+WasteFigures wasteFaulty(ServiceWeight Weight);
+
+struct OverloadFigures {
+  /// Run time of jobs completed in time, as part of the capacity.
+  double Goodput = 0;
+  double InTime = 0;
+  double Refused = 0;
+  double SlowestRefusalMs = 0;
+  uint64_t StartsOfRefused = 0;
+};
+
+/// Twice the capacity, deadlines of 10 to 30 s.
+OverloadFigures overload();
+
+struct FairnessFigures {
+  double P99AloneMs = 0;
+  double P99FloodedMs = 0;
+};
+
+/// A team at 90 % of its quota of a tenth, while another sends 10 times its
+/// quota. The other eight teams send \p OthersLoad of their quotas.
+FairnessFigures fairness(double OthersLoad);
+
+} // namespace sapphiremoor::bench
+
+#endif // SAPPHIREMOOR_BENCH_DECISIONS_SCENARIOS_H
--- /dev/null
+++ b/bench/decisions/trace.h
@@ -0,0 +1,54 @@
+#ifndef SAPPHIREMOOR_BENCH_DECISIONS_TRACE_H
+#define SAPPHIREMOOR_BENCH_DECISIONS_TRACE_H
+
+/// \file
+/// Generated workload: jobs of 1 to 1,600 tasks with Poisson arrivals. Run
+/// times are log-uniform from 50 ms to 1 s; 2 % are log-uniform from 1 to 6 s.
+
+#include "framework/core/time.h"
+
+#include <cstdint>
+#include <vector>
+
+namespace sapphiremoor::bench {
+
+inline constexpr uint32_t WorkerCount = 50;
+inline constexpr uint32_t SlotsPerWorker = 8;
+inline constexpr uint32_t WorkersPerRack = 8;
+inline constexpr uint32_t SlotCount = WorkerCount * SlotsPerWorker;
+/// One way between any two machines.
+inline constexpr Duration Hop{1'000};
+
+/// One job of a trace. Half of the jobs are single requests.
+struct TraceJob {
+  Duration Arrival{0};
+  uint32_t Team = 0;
+  Duration Deadline = Duration::max();
+  std::vector<Duration> RunTimes;
+
+  bool single() const { return RunTimes.size() == 1; }
+};
+
+using Trace = std::vector<TraceJob>;
+
+/// What one team sends.
+struct Stream {
+  uint32_t Team = 0;
+  /// Part of the capacity of all slots that its run times add up to.
+  double Load = 0;
+};
+
+/// Generates \p Length of the streams, ordered by arrival. Arrivals are scaled
+/// so that each stream has exactly its load.
+Trace generateTrace(const std::vector<Stream> &Streams, Duration Length,
+                    uint64_t Seed);
+
+/// Gives each job a deadline between \p Least and \p Most after its arrival.
+void setDeadlines(Trace &Jobs, Duration Least, Duration Most, uint64_t Seed);
+
+/// Returns \p TeamCount streams that share \p Load equally.
+std::vector<Stream> equalStreams(uint32_t TeamCount, double Load);
+
+} // namespace sapphiremoor::bench
+
+#endif // SAPPHIREMOOR_BENCH_DECISIONS_TRACE_H
