Add the daemon and the command line (thin path, not yet built into tests)

Cause: the modules must meet in one process. Change: peer messages, membership, claims, registry, executor, router, HTTP interface and the command line; one VM decides configuration changes until the replicated log is connected.

--- /dev/null
+++ b/src/app/internal/configcommands.cpp
@@ -0,0 +1,226 @@
+#include "app/client.h"
+#include "app/commands.h"
+#include "app/table.h"
+#include "configuration/servicefiles.h"
+#include "configuration/settingsfile.h"
+#include "framework/core/random.h"
+
+#include <CLI/CLI.hpp>
+#include <nlohmann/json.hpp>
+
+#include <filesystem>
+#include <iostream>
+#include <optional>
+
+namespace sapphiremoor {
+
+namespace {
+
+using Json = nlohmann::ordered_json;
+
+struct ChangeOptions {
+  std::vector<std::string> Files;
+  std::optional<uint64_t> ExpectedRevision;
+  bool Remove = false;
+};
+
+ExitCode checkFolder(const std::string &Folder) {
+  std::map<std::string, std::string> Files;
+  std::error_code Failure;
+  for (const auto &Entry :
+       std::filesystem::directory_iterator(Folder, Failure)) {
+    const Result<std::string> Text = readFile(Entry.path().string());
+    if (isError(Text))
+      return report(errorOf(Text));
+    Files[Entry.path().filename().string()] = valueOf(Text);
+  }
+  if (Failure)
+    return report({ErrorKind::NotFound, "cannot read the folder " + Folder,
+                   "name a folder of configuration files"});
+  const Result<ServiceConfig> Merged = mergeConfiguration(Files);
+  if (isError(Merged))
+    return report(errorOf(Merged));
+  std::cout << "valid: " << Files.size() << " files, "
+            << valueOf(Merged).Services.size() << " services, "
+            << valueOf(Merged).Teams.size() << " teams\n";
+  return ExitCode::Done;
+}
+
+ExitCode checkSettings(const std::string &Path) {
+  const Result<std::string> Text = readFile(Path);
+  if (isError(Text))
+    return report(errorOf(Text));
+  const Result<Settings> Parsed = parseSettings(valueOf(Text), Path);
+  if (isError(Parsed))
+    return report(errorOf(Parsed));
+  std::cout << "valid: settings of " << valueOf(Parsed).Name << "\n";
+  return ExitCode::Done;
+}
+
+Result<Json> fetchJson(const Client &Sender, const std::string &Path) {
+  HttpCallRequest Request;
+  Request.Method = HttpMethod::Get;
+  Request.Path = Path;
+  const Result<HttpCallResult> Answer = Sender.call(Request);
+  if (isError(Answer))
+    return errorOf(Answer);
+  Json Body = Json::parse(valueOf(Answer).Body, nullptr, false);
+  if (valueOf(Answer).Code != 200 || !Body.is_object())
+    return Error{ErrorKind::Unauthorized, "the configuration cannot be read",
+                 "check that the token is that of an operator"};
+  return Body;
+}
+
+/// Sends one change; a resend after a lost answer carries the same request id,
+/// so that it cannot be taken for a second change.
+Result<uint64_t> sendChange(const Client &Sender, const std::string &Path,
+                            const ChangeOptions &Options, uint64_t Expected) {
+  const std::string Name = std::filesystem::path(Path).filename().string();
+  HttpCallRequest Request;
+  Request.Method = Options.Remove ? HttpMethod::Delete : HttpMethod::Post;
+  Request.Path = "/v1/config/files/" + Name +
+                 "?expected_revision=" + std::to_string(Expected) +
+                 "&request_id=" + std::to_string(secureRandom64());
+  if (!Options.Remove) {
+    Result<std::string> Text = readFile(Path);
+    if (isError(Text))
+      return errorOf(Text);
+    Request.Body = takeValue(std::move(Text));
+  }
+  const Result<HttpCallResult> Answer = Sender.call(Request);
+  if (isError(Answer))
+    return errorOf(Answer);
+  const Json Body = Json::parse(valueOf(Answer).Body, nullptr, false);
+  if (valueOf(Answer).Code == 200)
+    return Body["revision"].get<uint64_t>();
+  const Json Failure =
+      Body.is_object() ? Body.value("error", Json::object()) : Json::object();
+  return Error{ErrorKind::Conflict, Name + ": " + Failure.value("message", ""),
+               Failure.value("remedy", "")};
+}
+
+ExitCode change(const ChangeOptions &Options, const ClientOptions &Common) {
+  const Result<Client> Sender = Client::open(Common);
+  if (isError(Sender))
+    return report(errorOf(Sender));
+  uint64_t Revision = 0;
+  if (Options.ExpectedRevision) {
+    Revision = *Options.ExpectedRevision;
+  } else {
+    const Result<Json> Now = fetchJson(valueOf(Sender), "/v1/config");
+    if (isError(Now))
+      return report(errorOf(Now));
+    Revision = valueOf(Now)["revision"].get<uint64_t>();
+  }
+  for (const std::string &File : Options.Files) {
+    const Result<uint64_t> Accepted =
+        sendChange(valueOf(Sender), File, Options, Revision);
+    if (isError(Accepted)) {
+      const ExitCode Code = report(errorOf(Accepted));
+      return Code == ExitCode::Unreachable ? Code : ExitCode::Failed;
+    }
+    Revision = valueOf(Accepted);
+    std::cout << File << ": accepted as revision " << Revision << "\n";
+  }
+  return ExitCode::Done;
+}
+
+ExitCode show(const ClientOptions &Common) {
+  const Result<Client> Sender = Client::open(Common);
+  if (isError(Sender))
+    return report(errorOf(Sender));
+  const Result<Json> Body = fetchJson(valueOf(Sender), "/v1/config");
+  if (isError(Body))
+    return report(errorOf(Body));
+  if (Common.Json) {
+    std::cout << valueOf(Body).dump(2) << "\n";
+    return ExitCode::Done;
+  }
+  std::cout << "revision " << valueOf(Body)["revision"] << "\n";
+  for (const auto &File : valueOf(Body)["files"].items())
+    std::cout << "--- " << File.key() << "\n"
+              << File.value().get<std::string>() << "\n";
+  return ExitCode::Done;
+}
+
+ExitCode history(const ClientOptions &Common) {
+  const Result<Client> Sender = Client::open(Common);
+  if (isError(Sender))
+    return report(errorOf(Sender));
+  const Result<Json> Body = fetchJson(valueOf(Sender), "/v1/config/history");
+  if (isError(Body))
+    return report(errorOf(Body));
+  if (Common.Json) {
+    std::cout << valueOf(Body).dump(2) << "\n";
+    return ExitCode::Done;
+  }
+  std::vector<std::vector<std::string>> Rows{
+      {"REVISION", "FILE", "CHANGE", "OPERATOR"}};
+  for (const Json &Row : valueOf(Body)["changes"])
+    Rows.push_back({Row["revision"].dump(), Row["file"].get<std::string>(),
+                    Row["removed"].get<bool>() ? "removed" : "applied",
+                    Row["operator"].get<std::string>()});
+  std::cout << formatTable(Rows);
+  return ExitCode::Done;
+}
+
+void addChangeCommand(CLI::App &Parent, Action &Chosen, bool Remove) {
+  CLI::App *Command = Parent.add_subcommand(
+      Remove ? "remove" : "apply",
+      Remove ? "Remove files from the configuration."
+             : "Add or replace files of the configuration.");
+  auto Options = std::make_shared<ChangeOptions>();
+  Options->Remove = Remove;
+  Command->add_option("files", Options->Files, "Files, in the order to send")
+      ->required();
+  Command->add_option("--expected-revision", Options->ExpectedRevision,
+                      "Revision that the change is based on (default: the "
+                      "one in force)");
+  const auto Common = addClientOptions(*Command);
+  Command->callback([&Chosen, Options, Common] {
+    Chosen = [=] { return change(*Options, *Common); };
+  });
+}
+
+void addCheckCommand(CLI::App &Parent, Action &Chosen) {
+  CLI::App *Command = Parent.add_subcommand(
+      "check", "Check a folder of files, or the settings of a VM.");
+  auto Folder = std::make_shared<std::string>();
+  auto Settings = std::make_shared<std::string>();
+  auto *FolderOption =
+      Command->add_option("folder", *Folder, "Folder of configuration files");
+  Command->add_option("--settings", *Settings, "Settings file of a VM")
+      ->excludes(FolderOption);
+  Command->callback([&Chosen, Folder, Settings] {
+    Chosen = [=] {
+      return Settings->empty() ? checkFolder(*Folder)
+                               : checkSettings(*Settings);
+    };
+  });
+}
+
+} // namespace
+
+void addConfigCommands(CLI::App &Root, Action &Chosen) {
+  CLI::App *Parent = Root.add_subcommand(
+      "config", "Check, change and show the configuration.");
+  Parent->require_subcommand(1);
+  Parent->footer("Example:\n  sapphiremoor config check conf.d\n"
+                 "  sapphiremoor config apply conf.d/10-quote.json --to "
+                 "127.0.0.1:8080 --token-file operator-eva.token");
+  addCheckCommand(*Parent, Chosen);
+  addChangeCommand(*Parent, Chosen, false);
+  addChangeCommand(*Parent, Chosen, true);
+  CLI::App *Show = Parent->add_subcommand("show", "Print the files in force.");
+  const auto ShowOptions = addClientOptions(*Show);
+  Show->callback(
+      [&Chosen, ShowOptions] { Chosen = [=] { return show(*ShowOptions); }; });
+  CLI::App *History =
+      Parent->add_subcommand("history", "Print the accepted changes.");
+  const auto HistoryOptions = addClientOptions(*History);
+  History->callback([&Chosen, HistoryOptions] {
+    Chosen = [=] { return history(*HistoryOptions); };
+  });
+}
+
+} // namespace sapphiremoor
--- /dev/null
+++ b/src/app/internal/operatorcommands.cpp
@@ -0,0 +1,128 @@
+#include "app/client.h"
+#include "app/commands.h"
+#include "app/table.h"
+
+#include <CLI/CLI.hpp>
+#include <nlohmann/json.hpp>
+
+#include <iostream>
+
+namespace sapphiremoor {
+
+namespace {
+
+using Json = nlohmann::ordered_json;
+
+std::string cell(const Json &Value) {
+  if (Value.is_string())
+    return Value.get<std::string>();
+  if (Value.is_boolean())
+    return Value.get<bool>() ? "yes" : "no";
+  if (!Value.is_array())
+    return Value.dump();
+  std::string Joined;
+  for (const Json &Item : Value)
+    Joined += (Joined.empty() ? "" : ",") + cell(Item);
+  return Joined;
+}
+
+std::string tableOf(const Json &Rows, const std::vector<std::string> &Names) {
+  std::vector<std::vector<std::string>> Cells{Names};
+  for (const Json &Row : Rows) {
+    std::vector<std::string> Line;
+    for (const std::string &Name : Names)
+      Line.push_back(cell(Row.at(Name)));
+    Cells.push_back(std::move(Line));
+  }
+  return formatTable(Cells);
+}
+
+Result<HttpCallResult> callOperator(const ClientOptions &Common,
+                                    HttpMethod Method,
+                                    const std::string &Path) {
+  const Result<Client> Sender = Client::open(Common);
+  if (isError(Sender))
+    return errorOf(Sender);
+  HttpCallRequest Request;
+  Request.Method = Method;
+  Request.Path = Path;
+  return valueOf(Sender).call(Request);
+}
+
+ExitCode status(const ClientOptions &Common) {
+  const Result<HttpCallResult> Answer =
+      callOperator(Common, HttpMethod::Get, "/v1/status");
+  if (isError(Answer))
+    return report(errorOf(Answer));
+  const Json Body = Json::parse(valueOf(Answer).Body, nullptr, false);
+  if (valueOf(Answer).Code != 200 || !Body.is_object())
+    return reportAnswer(valueOf(Answer));
+  if (Common.Json) {
+    std::cout << Body.dump(2) << "\n";
+    return ExitCode::Done;
+  }
+  std::cout << "vm " << cell(Body["vm"]) << " in " << cell(Body["data_centre"])
+            << ", dispatcher " << cell(Body["dispatcher"]) << ", revision "
+            << Body["revision"] << ", open jobs " << Body["open_jobs"]
+            << ", queued tasks " << Body["queued_tasks"] << "\n\n"
+            << tableOf(Body["vms"],
+                       {"vm", "data_centre", "live", "draining", "revision"})
+            << "\n"
+            << tableOf(Body["backends"], {"backend", "worker", "rack",
+                                          "services", "slots", "state"});
+  return ExitCode::Done;
+}
+
+ExitCode drain(const std::string &Id, bool Undo, const ClientOptions &Common) {
+  const Result<HttpCallResult> Answer = callOperator(
+      Common, Undo ? HttpMethod::Delete : HttpMethod::Post, "/v1/drain/" + Id);
+  if (isError(Answer))
+    return report(errorOf(Answer));
+  if (valueOf(Answer).Code != 200)
+    return reportAnswer(valueOf(Answer));
+  std::cout << Id << (Undo ? ": takes work again\n" : ": drained\n");
+  return ExitCode::Done;
+}
+
+void addDrainCommand(CLI::App &Root, Action &Chosen) {
+  CLI::App *Command = Root.add_subcommand(
+      "drain", "Stop new work for a backend server; it finishes its tasks.");
+  auto Id = std::make_shared<std::string>();
+  auto Undo = std::make_shared<bool>(false);
+  Command->add_option("backend", *Id, "Identifier, as in the status")
+      ->required();
+  Command->add_flag("--undo", *Undo, "Allow new work again");
+  const auto Common = addClientOptions(*Command);
+  Command->callback([&Chosen, Id, Undo, Common] {
+    Chosen = [=] { return drain(*Id, *Undo, *Common); };
+  });
+}
+
+} // namespace
+
+std::shared_ptr<ClientOptions> addClientOptions(CLI::App &Command) {
+  auto Options = std::make_shared<ClientOptions>();
+  Command
+      .add_option("--to", Options->To,
+                  "ADDRESS:PORT of a VM; repeat it to name alternatives")
+      ->required()
+      ->envname("SAPPHIREMOOR_TO");
+  Command
+      .add_option("--token-file", Options->TokenFile,
+                  "File with the token, mode 0600")
+      ->required()
+      ->envname("SAPPHIREMOOR_TOKEN_FILE");
+  Command.add_flag("--json", Options->Json, "Print JSON");
+  return Options;
+}
+
+void addOperatorCommands(CLI::App &Root, Action &Chosen) {
+  CLI::App *Status =
+      Root.add_subcommand("status", "Show VMs and backend servers.");
+  const auto Common = addClientOptions(*Status);
+  Status->callback(
+      [&Chosen, Common] { Chosen = [=] { return status(*Common); }; });
+  addDrainCommand(Root, Chosen);
+}
+
+} // namespace sapphiremoor
--- a/src/claims/internal/pending.cpp
+++ b/src/claims/internal/pending.cpp
@@ -59,7 +59,7 @@
 }
 
 void send(Step &S, const VmId &To, ClaimMessage Message) {
-  S.Effects.emplace_back(SendTo{To, std::move(Message)});
+  S.Effects.emplace_back(SendClaim{To, std::move(Message)});
 }
 
 void finishNotRun(Step &S, const PendingClaim &Claim, std::string Reason) {
--- a/src/claims/types/claimeffect.h
+++ b/src/claims/types/claimeffect.h
@@ -11,7 +11,7 @@
 namespace sapphiremoor {
 
 /// Send \c Message to exactly this incarnation of a VM.
-struct SendTo {
+struct SendClaim {
   VmId To;
   ClaimMessage Message;
 };
@@ -62,7 +62,7 @@
 /// What the event loop must do. An effect with a digest applies to the requests
 /// at this VM with that key and body, one without to all requests of the key.
 using ClaimEffect =
-    std::variant<SendTo, StartJob, PassToExecutor, JoinJob, Decide>;
+    std::variant<SendClaim, StartJob, PassToExecutor, JoinJob, Decide>;
 using ClaimEffects = std::vector<ClaimEffect>;
 
 } // namespace sapphiremoor
--- a/src/configuration/internal/settingsreader.cpp
+++ b/src/configuration/internal/settingsreader.cpp
@@ -94,7 +94,7 @@
 }
 
 void SettingsReader::readPeer(const JsonNode &Node, const std::string &Path) {
-  if (!Reader.isObject(Node, Path, {"name", "data_centre", "address", "port"}))
+  if (!Reader.isObject(Node, Path, {"name", "data_centre", "address", "port", "http"}))
     return;
   PeerSettings Peer;
   if (const JsonNode *Name = Reader.require(Node, Path, "name"))
@@ -102,6 +102,10 @@
   if (const JsonNode *DataCentre = Reader.require(Node, Path, "data_centre"))
     Peer.DataCentre = Reader.readName(*DataCentre, pathTo(Path, "data_centre"));
   Peer.Address = readEndpoint(Node, Path);
+  const std::string HttpPath = pathTo(Path, "http");
+  if (const JsonNode *Http = Node.find("http");
+      Http != nullptr && Reader.isObject(*Http, HttpPath, {"address", "port"}))
+    Peer.Http = readEndpoint(*Http, HttpPath);
   checkPeer(Node, Peer);
   Listed.push_back(std::move(Peer));
 }
--- a/src/configuration/types/settings.h
+++ b/src/configuration/types/settings.h
@@ -19,6 +19,8 @@
   std::string Name;
   std::string DataCentre;
   Endpoint Address;
+  /// Where it serves HTTP, told to backend servers; port 0 if not given.
+  Endpoint Http;
 
   auto operator<=>(const PeerSettings &) const = default;
 };
--- /dev/null
+++ b/src/daemon/backendregistry.h
@@ -0,0 +1,56 @@
+#ifndef SAPPHIREMOOR_DAEMON_BACKENDREGISTRY_H
+#define SAPPHIREMOOR_DAEMON_BACKENDREGISTRY_H
+
+#include "daemon/membershipservice.h"
+#include "daemon/peerbus.h"
+#include "framework/net/timer.h"
+#include "leases/backendtable.h"
+
+#include <functional>
+#include <optional>
+#include <string>
+
+namespace sapphiremoor {
+
+/// Knows the backend servers of this data centre. The dispatcher hears their
+/// announcements and tells its neighbours what changed.
+class BackendRegistry {
+public:
+  BackendRegistry(EventLoop &Loop, const Settings &Of, PeerBus &Bus,
+                  MembershipService &Membership);
+
+  /// \p Handler is called with the id of each server whose standing changed.
+  void start(std::function<void(const std::string &)> Handler);
+
+  /// Takes an announcement from the server itself. Returns the time until the
+  /// next one.
+  Duration announced(const Announcement &Told);
+  /// Where the server shall announce itself next.
+  Endpoint announceTo() const;
+  void leaving(const std::string &Id);
+  Result<Done> drain(const std::string &Id, bool Undo);
+
+  /// An answer arrived from the server.
+  void contacted(const std::string &Id);
+  /// A connect to the server failed.
+  void unreachable(const std::string &Id);
+
+  const BackendTable &table() const { return Table; }
+
+private:
+  void take(const std::optional<BackendChange> &Change);
+  void order(const BackendOrder &What);
+  void relay(const PeerMessage &Message);
+
+  EventLoop &Loop;
+  const Settings &Of;
+  PeerBus &Bus;
+  MembershipService &Membership;
+  BackendTable Table;
+  std::function<void(const std::string &)> Changed;
+  Timer Expiry;
+};
+
+} // namespace sapphiremoor
+
+#endif // SAPPHIREMOOR_DAEMON_BACKENDREGISTRY_H
--- /dev/null
+++ b/src/daemon/claimservice.h
@@ -0,0 +1,50 @@
+#ifndef SAPPHIREMOOR_DAEMON_CLAIMSERVICE_H
+#define SAPPHIREMOOR_DAEMON_CLAIMSERVICE_H
+
+#include "claims/claims.h"
+#include "daemon/membershipservice.h"
+#include "daemon/peerbus.h"
+#include "framework/net/timer.h"
+
+#include <functional>
+#include <string>
+
+namespace sapphiremoor {
+
+/// Connects the claim decisions to the links and the clock.
+class ClaimService {
+public:
+  ClaimService(EventLoop &Loop, const Settings &Of, const VmId &Self,
+               PeerBus &Bus, const MembershipService &Membership);
+
+  /// \p Handler gets each effect but SendClaim. It may call back into this
+  /// object.
+  void start(std::function<void(const ClaimEffect &)> Handler);
+
+  Prefix issue(const std::string &Team);
+  ForwardResult forward(const JobKey &Key, const BodyDigest &Digest,
+                        const VmId &Executor);
+  void claim(const JobKey &Key, const BodyDigest &Digest,
+             const std::optional<ProvisionalHold> &Hold);
+  void refuse(const JobKey &Key, const Error &Reason);
+  void find(const JobKey &Key);
+  void store(const JobKey &Key, const BodyDigest &Digest,
+             const std::string &Bytes);
+  const std::string *kept(const JobKey &Key) const;
+
+private:
+  void run(const ClaimEffects &Effects);
+  void armTimer();
+
+  EventLoop &Loop;
+  PeerBus &Bus;
+  const MembershipService &Membership;
+  ClaimState State;
+  std::function<void(const ClaimEffect &)> Handler;
+  Timer Deadline;
+  Timer Expiry;
+};
+
+} // namespace sapphiremoor
+
+#endif // SAPPHIREMOOR_DAEMON_CLAIMSERVICE_H
--- /dev/null
+++ b/src/daemon/daemon.h
@@ -0,0 +1,52 @@
+#ifndef SAPPHIREMOOR_DAEMON_DAEMON_H
+#define SAPPHIREMOOR_DAEMON_DAEMON_H
+
+#include "daemon/backendregistry.h"
+#include "daemon/claimservice.h"
+#include "daemon/configservice.h"
+#include "daemon/httpapi.h"
+#include "daemon/jobexecutor.h"
+#include "daemon/jobrouter.h"
+#include "daemon/membershipservice.h"
+#include "daemon/peerbus.h"
+
+#include <string>
+
+namespace sapphiremoor {
+
+/// One entry VM's daemon: builds its parts and connects them.
+class Daemon {
+public:
+  Daemon(EventLoop &Loop, const Settings &Of, TokenTable Tokens,
+         const std::string &ClusterKey);
+
+  /// Opens all sockets.
+  Result<Done> start();
+
+  /// Begins a graceful stop: refuses new work, finishes what is open, then ends
+  /// the event loop.
+  void drain();
+
+private:
+  void connect();
+  void checkDrained();
+
+  EventLoop &Loop;
+  const Settings &Of;
+  VmId Self;
+  Registry Metrics;
+  PeerBus Bus;
+  MembershipService Membership;
+  ClaimService Claims;
+  BackendRegistry Backends;
+  JobExecutor Executor;
+  JobRouter Router;
+  ConfigService Config;
+  HttpApi Api;
+  Timer DrainCheck;
+  int QuietChecks = 0;
+};
+
+} // namespace sapphiremoor
+
+#endif // SAPPHIREMOOR_DAEMON_DAEMON_H
--- /dev/null
+++ b/src/daemon/internal/statusreport.cpp
@@ -0,0 +1,64 @@
+#include "daemon/statusreport.h"
+
+#include <nlohmann/json.hpp>
+
+namespace sapphiremoor {
+
+namespace {
+
+using Json = nlohmann::ordered_json;
+
+Json vmRow(const std::string &Name, const std::string &DataCentre, bool Live,
+           bool Draining, uint64_t Revision) {
+  Json Row;
+  Row["vm"] = Name;
+  Row["data_centre"] = DataCentre;
+  Row["live"] = Live;
+  Row["draining"] = Draining;
+  Row["revision"] = Revision;
+  return Row;
+}
+
+Json vmRows(const StatusSources &Of, Instant Now) {
+  const MembershipState &State = Of.Membership.state();
+  Json Rows = Json::array();
+  Rows.push_back(vmRow(State.Self.Name, State.DataCentre, true, State.Draining,
+                       Of.Config.revision()));
+  for (const auto &[Name, Peer] : State.Peers)
+    Rows.push_back(vmRow(Name, Peer.Last.DataCentre, isLive(State, Name, Now),
+                         Peer.Last.Draining, Peer.Last.Revision));
+  return Rows;
+}
+
+Json backendRows(const BackendTable &Backends) {
+  Json Rows = Json::array();
+  for (const auto &[Id, Server] : Backends.Backends) {
+    Json Row;
+    Row["backend"] = Id;
+    Row["worker"] = Server.Last.Worker;
+    Row["rack"] = Server.Last.Rack;
+    Row["services"] = Server.Last.Services;
+    Row["slots"] = Server.Last.Slots;
+    Row["state"] = stateName(Server);
+    Rows.push_back(std::move(Row));
+  }
+  return Rows;
+}
+
+} // namespace
+
+std::string statusJson(const StatusSources &Of, Instant Now) {
+  Json Report;
+  Report["vm"] = Of.Membership.state().Self.Name;
+  Report["data_centre"] = Of.Membership.state().DataCentre;
+  Report["dispatcher"] = Of.Membership.dispatcher().Name;
+  Report["revision"] = Of.Config.revision();
+  Report["open_requests"] = Of.Router.open();
+  Report["open_jobs"] = Of.Executor.openJobs();
+  Report["queued_tasks"] = Of.Executor.placement().Queued;
+  Report["vms"] = vmRows(Of, Now);
+  Report["backends"] = backendRows(Of.Backends);
+  return Report.dump() + "\n";
+}
+
+} // namespace sapphiremoor
--- /dev/null
+++ b/src/daemon/jobexecutor.h
@@ -0,0 +1,100 @@
+#ifndef SAPPHIREMOOR_DAEMON_JOBEXECUTOR_H
+#define SAPPHIREMOOR_DAEMON_JOBEXECUTOR_H
+
+#include "configuration/types/serviceconfig.h"
+#include "configuration/types/settings.h"
+#include "framework/metrics/registry.h"
+#include "framework/net/backendclient.h"
+#include "framework/net/timer.h"
+#include "gateway/types/answer.h"
+#include "gateway/types/jobrequest.h"
+#include "leases/backendtable.h"
+#include "membership/types/heartbeat.h"
+#include "placement/placement.h"
+
+#include <functional>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace sapphiremoor {
+
+/// Runs the tasks of jobs on backend servers as placement decides, and collects
+/// whole answers.
+class JobExecutor {
+public:
+  /// What the executor reports about a backend server.
+  struct BackendCallbacks {
+    std::function<void(const std::string &)> Contacted;
+    std::function<void(const std::string &)> Unreachable;
+  };
+  using AnswerHandler = std::function<void(const Answer &)>;
+
+  JobExecutor(EventLoop &Loop, const Settings &Of, const BackendTable &Backends,
+              Registry &Metrics, BackendCallbacks Calls);
+
+  /// Takes a new configuration into force.
+  void configure(const ServiceConfig &Config);
+
+  /// The standing of a backend server has changed.
+  void backendChanged(const std::string &Id);
+
+  /// Returns whether a job can be run in time. Errors: Impossible, Overloaded.
+  Result<Done> admitJob(const JobRequest &Job) const;
+
+  /// Queues the tasks of \p Job. \p Label names the job to backend servers.
+  /// \p Handler is called once, from a later event.
+  JobNumber start(const std::string &Label, const JobRequest &Job,
+                  AnswerHandler Handler);
+
+  /// Gives up a job. Its handler is called.
+  void cancel(JobNumber Job);
+
+  /// Expected wait of a new task, or nothing if no server carries the service.
+  std::optional<Duration> wait(const std::string &Service) const;
+  /// Loads of all services for the heartbeat.
+  std::vector<ServiceLoad> loads() const;
+
+  std::size_t openJobs() const { return Jobs.size(); }
+  const PlacementState &placement() const { return State; }
+
+private:
+  struct RunningJob;
+
+  void schedulePump();
+  void pump();
+  void armTimer();
+  void launch(const TaskStart &Start);
+  void finished(const TaskStart &Start, Instant StartedAt,
+                const HttpCallResult &Result);
+  void taskEnded(const TaskStart &Start, TaskOutcome Outcome,
+                 const std::string &Body);
+  void fail(JobNumber Number, const std::string &Reason,
+            const std::string &Remedy);
+  void complete(JobNumber Number, const Answer &Result);
+  void expireJobs();
+  JobShape shapeOf(const JobRequest &Job) const;
+
+  EventLoop &Loop;
+  const Settings &Of;
+  const BackendTable &Backends;
+  BackendCallbacks Calls;
+  BackendClient Client;
+  PlacementState State;
+  std::vector<std::string> ServiceNames;
+  std::unordered_map<JobNumber, RunningJob> Jobs;
+  std::set<std::pair<Instant, JobNumber>> Deadlines;
+  uint64_t LastJob = 0;
+  bool PumpScheduled = false;
+  Timer Wakeup;
+  Counter &TaskStarts;
+  Counter &TaskRetries;
+  LatencyHistogram &TaskTimes;
+};
+
+} // namespace sapphiremoor
+
+#endif // SAPPHIREMOOR_DAEMON_JOBEXECUTOR_H
--- /dev/null
+++ b/src/daemon/statusreport.h
@@ -0,0 +1,28 @@
+#ifndef SAPPHIREMOOR_DAEMON_STATUSREPORT_H
+#define SAPPHIREMOOR_DAEMON_STATUSREPORT_H
+
+#include "daemon/configservice.h"
+#include "daemon/jobexecutor.h"
+#include "daemon/jobrouter.h"
+#include "daemon/membershipservice.h"
+#include "leases/backendtable.h"
+
+#include <string>
+
+namespace sapphiremoor {
+
+/// What the status report of a VM is made of.
+struct StatusSources {
+  const MembershipService &Membership;
+  const ConfigService &Config;
+  const BackendTable &Backends;
+  const JobExecutor &Executor;
+  const JobRouter &Router;
+};
+
+/// Returns the status of this VM, its peers and backend servers as JSON.
+std::string statusJson(const StatusSources &Of, Instant Now);
+
+} // namespace sapphiremoor
+
+#endif // SAPPHIREMOOR_DAEMON_STATUSREPORT_H
--- a/src/framework/core/error.h
+++ b/src/framework/core/error.h
@@ -45,6 +45,10 @@
   std::string Remedy;
 
   auto operator<=>(const Error &) const = default;
+
+  template <typename Archive> void serialize(Archive &Ar) {
+    Ar(Kind, Message, Remedy);
+  }
 };
 
 /// Returns "kind: message (remedy)", for terminals and logs.
