Test claims over a seeded faulty network; tie request numbers to the run

Cause: promises 1, 4 and 5 must hold under loss, duplication, reordering, cuts, restarts and frozen VMs. A restarted VM counted its requests from 1 again, so that a reply meant for its earlier run ended a claim of the new one. Ruled out: relying on the link to drop messages for an earlier run; the test delivers them on purpose. Change: request numbers start at a value drawn from the incarnation; a fake network of 3 to 5 VMs and its checks. Conclusion: a reply counts only for the run, the phase and the VM that asked.

--- a/src/claims/internal/claims.cpp
+++ b/src/claims/internal/claims.cpp
@@ -92,6 +92,9 @@
                           const ClaimLimits &Limits) {
   ClaimState State;
   State.Self = std::move(Self);
+  // A late reply to an earlier run of this VM must not match a request of this
+  // one. The shift leaves room to count upwards.
+  State.LastRequest = State.Self.Incarnation >> 1;
   State.DataCentre = std::move(DataCentre);
   State.Limits = Limits;
   return State;
--- /dev/null
+++ b/src/claims/tests/fakenetwork.cpp
@@ -0,0 +1,321 @@
+#include "fakenetwork.h"
+
+#include "framework/codec/serial.h"
+
+#include <algorithm>
+
+namespace sapphiremoor::test {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+std::string answerText(const BodyDigest &Digest) {
+  return "answer " + std::to_string(Digest[0]);
+}
+
+} // namespace
+
+FakeNetwork::FakeNetwork(uint64_t Seed, std::size_t Size,
+                         const FaultRates &Faults)
+    : Rng(Seed), Rates(Faults) {
+  for (std::size_t I = 0; I < Size; ++I) {
+    Nodes.emplace_back().Name = std::string(1, static_cast<char>('a' + I));
+    restart(Nodes.back());
+  }
+}
+
+bool FakeNetwork::chance(double Probability) {
+  return std::uniform_real_distribution<double>(0, 1)(Rng) < Probability;
+}
+
+std::size_t FakeNetwork::pick(std::size_t Count) { return Rng() % Count; }
+
+Node *FakeNetwork::nodeOf(const std::string &Name) {
+  const auto Found = std::ranges::find(Nodes, Name, &Node::Name);
+  return Found->State ? &*Found : nullptr;
+}
+
+void FakeNetwork::violation(const JobKey &Key, const std::string &What) {
+  Violations.push_back(Key.Prefix.Issuer.Name +
+                       std::to_string(Key.Prefix.Sequence) + "." +
+                       std::to_string(Key.Number) + " " + What);
+}
+
+void FakeNetwork::kill(Node &Vm) {
+  Node Empty;
+  Empty.Name = Vm.Name;
+  Vm = std::move(Empty);
+}
+
+void FakeNetwork::restart(Node &Vm) {
+  kill(Vm);
+  Vm.State = makeClaimState({Vm.Name, Rng()}, "dc");
+}
+
+JobKey FakeNetwork::newKey(Node &Issuer) {
+  std::vector<VmId> Others;
+  for (const Node &Vm : Nodes)
+    if (Vm.State && Vm.Name != Issuer.Name)
+      Others.push_back(Vm.State->Self);
+  std::ranges::shuffle(Others, Rng);
+  const Prefix Value = issuePrefix(*Issuer.State, "team", Others, Now);
+  Keys.push_back({Value, 1});
+  return Keys.back();
+}
+
+void FakeNetwork::send(const VmId &From, const VmId &To, Envelope Message) {
+  ++MessagesSent;
+  if (Cuts.contains({From.Name, To.Name}) || chance(Rates.Loss))
+    return;
+  const int Copies = chance(Rates.Duplicate) ? 2 : 1;
+  for (int I = 0; I < Copies; ++I) {
+    const std::size_t Delay = chance(Rates.Late) ? 3000 : 20;
+    InFlight.emplace(Now + milliseconds(1 + pick(Delay)), Message);
+  }
+}
+
+void FakeNetwork::deliver(const Envelope &Message) {
+  Node *Vm = nodeOf(Message.To.Name);
+  if (!Vm)
+    return;
+  if (Vm->Frozen)
+    Vm->Inbox.push_back(Message);
+  else
+    handle(*Vm, Message);
+}
+
+void FakeNetwork::handle(Node &Vm, const Envelope &Message) {
+  if (const auto *Passed = std::get_if<PassedRequest>(&Message.Body))
+    return Passed->Digest ? claim(Vm, *Passed)
+                          : find(Vm, Passed->Key, Passed->Hops);
+  const auto Decoded =
+      decode<ClaimMessage>(encode(std::get<ClaimMessage>(Message.Body)));
+  apply(Vm, receive(*Vm.State, Message.From, valueOf(Decoded), Now), 0);
+}
+
+void FakeNetwork::submit(Node &Entry, const JobKey &Key,
+                         const BodyDigest &Digest) {
+  Submitted[Key].insert(Digest);
+  Node &Executor = Nodes[pick(Nodes.size())];
+  if (!Executor.State || &Executor == &Entry)
+    return claim(Entry, {Key, Digest, std::nullopt, 0});
+  const VmId To = Executor.State->Self;
+  const ForwardResult Result = forwardJob(*Entry.State, Key, Digest, To, Now);
+  if (Result.Known) {
+    // A pending claim of the same job will lead to its own result.
+    if (Entry.Open.insert({Key, Digest}).second)
+      finish(Entry, *Result.Known, 0);
+    return;
+  }
+  send(Entry.State->Self, To,
+       {Entry.State->Self, To, PassedRequest{Key, Digest, Result.Hold, 0}});
+}
+
+void FakeNetwork::claim(Node &Vm, const PassedRequest &Request) {
+  Vm.Open.insert({Request.Key, Request.Digest});
+  apply(Vm,
+        claimJob(*Vm.State, Request.Key, *Request.Digest, Request.Hold, Now),
+        Request.Hops);
+}
+
+void FakeNetwork::find(Node &Vm, const JobKey &Key, int Hops) {
+  Vm.Open.insert({Key, std::nullopt});
+  apply(Vm, findJob(*Vm.State, Key, Now), Hops);
+}
+
+void FakeNetwork::refuse(Node &Vm, const JobKey &Key) {
+  if (Vm.Running.contains(Key))
+    return;
+  Vm.Queued.erase(Key);
+  std::erase_if(Vm.Open, [&](const ClaimId &Id) { return Id.Key == Key; });
+  Vm.Open.insert({Key, std::nullopt});
+  const Error Reason{ErrorKind::Overloaded, "the queue is full", "wait"};
+  apply(Vm, refuseJob(*Vm.State, Key, Reason, Now), 0);
+}
+
+void FakeNetwork::apply(Node &Vm, const ClaimEffects &Effects, int Hops) {
+  for (const ClaimEffect &Effect : Effects)
+    if (const auto *Message = std::get_if<SendTo>(&Effect))
+      send(Vm.State->Self, Message->To,
+           {Vm.State->Self, Message->To, Message->Message});
+    else
+      finish(Vm, Effect, Hops);
+}
+
+void FakeNetwork::close(Node &Vm, const ClaimId &Id) {
+  if (Vm.Open.erase(Id) == 0)
+    violation(Id.Key, "has two results for one call");
+}
+
+void FakeNetwork::finish(Node &Vm, const ClaimEffect &Effect, int Hops) {
+  if (const auto *Job = std::get_if<StartJob>(&Effect)) {
+    close(Vm, {Job->Key, Job->Digest});
+    ++Results["start"];
+    Vm.Queued.emplace(Job->Key, Job->Digest);
+  } else if (const auto *Pass = std::get_if<PassToExecutor>(&Effect)) {
+    close(Vm, {Pass->Key, Pass->Digest});
+    ++Results["pass"];
+    const PassedRequest Next{Pass->Key, Pass->Digest, std::nullopt, Hops + 1};
+    if (Hops > 8)
+      violation(Pass->Key, "is passed on in a circle");
+    else
+      send(Vm.State->Self, Pass->Executor,
+           {Vm.State->Self, Pass->Executor, Next});
+  } else if (const auto *Join = std::get_if<JoinJob>(&Effect)) {
+    close(Vm, {Join->Key, Join->Digest});
+    ++Results["join"];
+    const std::string *Answer = keptAnswer(*Vm.State, Join->Key);
+    const auto Started = Starts.find(Join->Key);
+    if (Answer && *Answer != answerText(Started->second.second))
+      violation(Join->Key, "has another job's answer");
+    if (Join->Digest && Started != Starts.end() &&
+        Started->second.second != *Join->Digest)
+      violation(Join->Key, "joins a job with another body");
+  } else if (const auto *Result = std::get_if<Decide>(&Effect)) {
+    close(Vm, {Result->Key, Result->Digest});
+    ++Results[Result->Reason];
+    if (Result->Outcome == ClaimOutcome::Conflict &&
+        Submitted[Result->Key].size() < 2)
+      violation(Result->Key, "has a conflict with itself");
+    if (Result->Outcome != ClaimOutcome::NotRun)
+      return;
+    NotRun.insert(Result->Key);
+    if (Starts.contains(Result->Key))
+      violation(Result->Key, "was started and then said not to run");
+  }
+}
+
+void FakeNetwork::start(Node &Vm, JobKey Key) {
+  const BodyDigest Digest = Vm.Queued.at(Key);
+  Vm.Queued.erase(Key);
+  Vm.Running.emplace(Key, Digest);
+  auto &[Count, First] = Starts[Key];
+  if (++Count > 1)
+    violation(Key, "was started twice");
+  if (NotRun.contains(Key))
+    violation(Key, "was started after it was said not to run");
+  First = Digest;
+}
+
+void FakeNetwork::work(Node &Vm) {
+  if (!Vm.Queued.empty() && chance(0.1))
+    start(Vm, Vm.Queued.begin()->first);
+  if (Vm.Running.empty() || !chance(0.02))
+    return;
+  const auto [Key, Digest] = *Vm.Running.begin();
+  Vm.Running.erase(Key);
+  apply(Vm, storeAnswer(*Vm.State, Key, Digest, answerText(Digest), Now), 0);
+}
+
+void FakeNetwork::advance(Duration Time) {
+  Now += Time;
+  while (!InFlight.empty() && InFlight.begin()->first <= Now)
+    deliver(InFlight.extract(InFlight.begin()).mapped());
+  for (Node &Vm : Nodes) {
+    if (!Vm.State || Vm.Frozen)
+      continue;
+    apply(Vm, tick(*Vm.State, Now), 0);
+    work(Vm);
+  }
+}
+
+void FakeNetwork::wait(Duration Time) {
+  for (const Instant End = Now + Time; Now < End;)
+    advance(milliseconds(5));
+}
+
+void FakeNetwork::thaw(Node &Vm) {
+  Vm.Frozen = false;
+  // A resumed process may see its timers before its sockets or after them.
+  if (chance(0.5))
+    apply(Vm, tick(*Vm.State, Now), 0);
+  std::ranges::shuffle(Vm.Inbox, Rng);
+  for (const Envelope &Message : std::exchange(Vm.Inbox, {}))
+    handle(Vm, Message);
+}
+
+void FakeNetwork::suspect(Node &Vm, Node &Peer) {
+  if (!Vm.State || Vm.Frozen || &Vm == &Peer)
+    return;
+  if (Peer.State && chance(0.5))
+    apply(Vm, peerUp(*Vm.State, Peer.State->Self, Now), 0);
+  else if (const auto Known = Vm.State->Peers.find(Peer.Name);
+           Known != Vm.State->Peers.end())
+    apply(Vm, peerDown(*Vm.State, {Peer.Name, Known->second.Incarnation}, Now),
+          0);
+}
+
+void FakeNetwork::fault() {
+  Node &Vm = Nodes[pick(Nodes.size())];
+  Node &Other = Nodes[pick(Nodes.size())];
+  switch (pick(7)) {
+  case 0:
+    kill(Vm);
+    break;
+  case 1:
+    restart(Vm);
+    break;
+  case 2:
+    if (!Vm.Frozen)
+      Vm.Frozen = Vm.State.has_value();
+    else
+      thaw(Vm);
+    break;
+  case 3:
+    Cuts.insert({Vm.Name, Other.Name});
+    break;
+  case 4:
+    Cuts.insert({Vm.Name, Other.Name});
+    Cuts.insert({Other.Name, Vm.Name});
+    break;
+  case 5:
+    Cuts.clear();
+    break;
+  case 6:
+    suspect(Vm, Other);
+    break;
+  }
+}
+
+void FakeNetwork::run(int Steps) {
+  for (int I = 0; I < Steps; ++I) {
+    advance(milliseconds(1 + pick(chance(0.05) ? 400 : 20)));
+    if (chance(Rates.Event))
+      fault();
+    Node &Vm = Nodes[pick(Nodes.size())];
+    if (!Vm.State || Vm.Frozen)
+      continue;
+    if (Keys.empty() || chance(0.04))
+      newKey(Vm);
+    const JobKey Key =
+        Keys[Keys.size() - 1 - pick(std::min<std::size_t>(Keys.size(), 4))];
+    const BodyDigest Digest{static_cast<uint8_t>(chance(0.05) ? 2 : 1)};
+    if (chance(0.4))
+      submit(Vm, Key, Digest);
+    else if (chance(0.1))
+      find(Vm, Key, 0);
+    else if (chance(0.05))
+      refuse(Vm, Key);
+  }
+}
+
+void FakeNetwork::settle() {
+  Rates = {};
+  Cuts.clear();
+  for (Node &Vm : Nodes) {
+    if (!Vm.State)
+      restart(Vm);
+    if (Vm.Frozen)
+      thaw(Vm);
+  }
+  for (const JobKey &Key : Keys)
+    for (Node &Vm : Nodes)
+      submit(Vm, Key, {1});
+  wait(std::chrono::seconds(12));
+  for (const Node &Vm : Nodes)
+    for (const ClaimId &Id : Vm.Open)
+      violation(Id.Key, "has no result at " + Vm.Name);
+}
+
+} // namespace sapphiremoor::test
--- /dev/null
+++ b/src/claims/tests/fakenetwork.h
@@ -0,0 +1,111 @@
+#ifndef SAPPHIREMOOR_CLAIMS_TESTS_FAKENETWORK_H
+#define SAPPHIREMOOR_CLAIMS_TESTS_FAKENETWORK_H
+
+#include "claims/claims.h"
+#include "framework/core/random.h"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+namespace sapphiremoor::test {
+
+/// A job or a search that one VM passes on to another.
+struct PassedRequest {
+  JobKey Key;
+  /// Absent for a search.
+  std::optional<BodyDigest> Digest;
+  std::optional<ProvisionalHold> Hold;
+  int Hops = 0;
+};
+
+struct Envelope {
+  VmId From;
+  VmId To;
+  std::variant<ClaimMessage, PassedRequest> Body;
+};
+
+/// How often faults occur.
+struct FaultRates {
+  double Loss = 0;
+  double Duplicate = 0;
+  /// A message that arrives after its sender has given up.
+  double Late = 0;
+  /// A cut, kill, freeze or wrong suspicion before a step.
+  double Event = 0;
+};
+
+/// One daemon: its claims and the jobs that it has queued or started.
+struct Node {
+  std::optional<ClaimState> State;
+  std::string Name;
+  bool Frozen = false;
+  std::vector<Envelope> Inbox;
+  /// Jobs whose first task has not started, and jobs that run.
+  std::map<JobKey, BodyDigest> Queued;
+  std::map<JobKey, BodyDigest> Running;
+  /// Calls that have not led to a result.
+  std::set<ClaimId> Open;
+};
+
+/// Daemons with a network, both driven by one seed. Each violation of a
+/// promise is added to Violations.
+class FakeNetwork {
+public:
+  FakeNetwork(uint64_t Seed, std::size_t Size, const FaultRates &Rates);
+
+  /// Runs \p Steps steps with submissions, searches, cancellations and faults.
+  void run(int Steps);
+  /// Ends all faults, asks for each key at each VM and runs until no claim
+  /// should be pending.
+  void settle();
+  void submit(Node &Entry, const JobKey &Key, const BodyDigest &Digest);
+  void wait(Duration Time);
+  JobKey newKey(Node &Issuer);
+
+  std::vector<Node> Nodes;
+  std::vector<std::string> Violations;
+  std::map<JobKey, std::pair<int, BodyDigest>> Starts;
+  std::map<JobKey, std::set<BodyDigest>> Submitted;
+  std::set<JobKey> NotRun;
+  std::map<std::string, int> Results;
+  std::size_t MessagesSent = 0;
+
+private:
+  void violation(const JobKey &Key, const std::string &What);
+  void send(const VmId &From, const VmId &To, Envelope Message);
+  void deliver(const Envelope &Message);
+  void handle(Node &Vm, const Envelope &Message);
+  void apply(Node &Vm, const ClaimEffects &Effects, int Hops);
+  void finish(Node &Vm, const ClaimEffect &Effect, int Hops);
+  void close(Node &Vm, const ClaimId &Id);
+  void claim(Node &Vm, const PassedRequest &Request);
+  void find(Node &Vm, const JobKey &Key, int Hops);
+  void refuse(Node &Vm, const JobKey &Key);
+  void start(Node &Vm, JobKey Key);
+  void work(Node &Vm);
+  void advance(Duration Time);
+  void fault();
+  void suspect(Node &Vm, Node &Peer);
+  void kill(Node &Vm);
+  void restart(Node &Vm);
+  void thaw(Node &Vm);
+  bool chance(double Probability);
+  std::size_t pick(std::size_t Count);
+  Node *nodeOf(const std::string &Name);
+
+  Random Rng;
+  FaultRates Rates;
+  Instant Now{};
+  std::multimap<Instant, Envelope> InFlight;
+  std::set<std::pair<std::string, std::string>> Cuts;
+  std::vector<JobKey> Keys;
+};
+
+} // namespace sapphiremoor::test
+
+#endif // SAPPHIREMOOR_CLAIMS_TESTS_FAKENETWORK_H
--- /dev/null
+++ b/src/claims/tests/network_test.cpp
@@ -0,0 +1,69 @@
+#include "fakenetwork.h"
+
+#include <doctest/doctest.h>
+
+using namespace sapphiremoor;
+using namespace sapphiremoor::test;
+
+namespace {
+
+/// Runs one network per seed and returns the counts of results.
+std::map<std::string, int> runSeeds(uint64_t First, uint64_t Count,
+                                    const FaultRates &Rates) {
+  std::map<std::string, int> Results;
+  for (uint64_t Seed = First; Seed < First + Count; ++Seed) {
+    FakeNetwork Network(Seed, 3 + Seed % 3, Rates);
+    Network.run(300);
+    Network.settle();
+    INFO("seed ", Seed);
+    if (!Network.Violations.empty())
+      FAIL_CHECK(Network.Violations.front());
+    for (const auto &[Result, Times] : Network.Results)
+      Results[Result] += Times;
+    if (!Network.Violations.empty())
+      break;
+  }
+  return Results;
+}
+
+} // namespace
+
+// Guards promises 1, 4 and 5: two starts of a key, a start of a key that was
+// said not to run, and a call without a result.
+TEST_CASE("no key starts twice or after not run, whatever the network does") {
+  const auto Results = runSeeds(1, 3000, {0.05, 0.05, 0.03, 0.04});
+  MESSAGE("starts ", Results.at("start"));
+  for (const char *Result :
+       {"start", "pass", "join", "conflict", "refused", "overloaded",
+        "no_majority", "prefix_sealed", "home_unreachable", "executor_lost",
+        "not_submitted"})
+    CHECK_MESSAGE(Results.contains(Result), Result);
+}
+
+// Guards against rules that are safe only because links lose nothing.
+TEST_CASE("the same holds with reliable links between VMs that fail often") {
+  runSeeds(100000, 1500, {0, 0, 0, 0.15});
+}
+
+// Guards against rules that are safe only because VMs seldom freeze or die.
+TEST_CASE("the same holds with very late and duplicated messages") {
+  runSeeds(200000, 1500, {0.2, 0.3, 0.3, 0.02});
+}
+
+// Guards against safety that is bought by refusing work.
+TEST_CASE("without faults every key starts exactly once") {
+  for (uint64_t Seed = 1; Seed <= 200; ++Seed) {
+    FakeNetwork Network(Seed, 3 + Seed % 3, {});
+    std::vector<JobKey> Keys;
+    for (Node &Vm : Network.Nodes)
+      Keys.push_back(Network.newKey(Vm));
+    for (const JobKey &Key : Keys)
+      for (Node &Vm : Network.Nodes)
+        Network.submit(Vm, Key, {1});
+    Network.settle();
+    INFO("seed ", Seed);
+    CHECK(Network.Violations.empty());
+    CHECK(Network.NotRun.empty());
+    CHECK(Network.Starts.size() == Keys.size());
+  }
+}
