Add service levels: outcome counts, burn rates and reports

Cause: operators need to see how fast each service and team spends its error budget. Ruled out: one series for each service, because one team's failures would hide in the others' traffic; a logarithmic axis in the plot, because it has no place for zero, which is the normal value. Change: recordOutcome counts per service, team and minute; buildReport and mergeReports sum windows; reports are rendered as table, JSON and SVG. Settings take numeric IPv4 addresses and the endpoint type of the net module.

--- a/src/configuration/internal/settingsreader.cpp
+++ b/src/configuration/internal/settingsreader.cpp
@@ -4,6 +4,8 @@
 #include "configuration/internal/shown.h"
 #include "framework/core/text.h"
 
+#include <arpa/inet.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -25,6 +27,19 @@
                  : Otherwise;
 }
 
+/// Addresses are numeric, because resolving a name would block the event loop.
+std::string readAddress(JsonReader &Reader, const JsonNode &Node,
+                        const std::string &Path) {
+  std::string Address = Reader.readText(Node, Path);
+  in_addr Parsed{};
+  if (inet_pton(AF_INET, Address.c_str(), &Parsed) != 1)
+    Reader.fail(ErrorKind::OutOfRange, Node,
+                Path + " is \"" + shown(Address) +
+                    "\", which is not a numeric IPv4 address",
+                "write four numbers, such as 127.0.0.1");
+  return Address;
+}
+
 } // namespace
 
 SettingsReader::SettingsReader(JsonReader &Reader, const JsonNode &Root)
@@ -67,7 +82,7 @@
                                       const std::string &Path) {
   Endpoint Read;
   if (const JsonNode *Address = Reader.require(Node, Path, "address"))
-    Read.Address = Reader.readText(*Address, pathTo(Path, "address"));
+    Read.Address = readAddress(Reader, *Address, pathTo(Path, "address"));
   if (const JsonNode *Port = Reader.require(Node, Path, "port"))
     Read.Port = static_cast<uint16_t>(
         Reader.readInteger(*Port, pathTo(Path, "port"), {1, 65535, ""}));
--- a/src/configuration/types/settings.h
+++ b/src/configuration/types/settings.h
@@ -2,6 +2,7 @@
 #define SAPPHIREMOOR_CONFIGURATION_TYPES_SETTINGS_H
 
 #include "framework/core/time.h"
+#include "framework/net/types/endpoint.h"
 
 #include <compare>
 #include <cstddef>
@@ -13,14 +14,6 @@
 
 namespace sapphiremoor {
 
-/// An address (host name or IP) and a TCP port.
-struct Endpoint {
-  std::string Address;
-  uint16_t Port = 0;
-
-  auto operator<=>(const Endpoint &) const = default;
-};
-
 /// Another entry VM and where it accepts peer links.
 struct PeerSettings {
   std::string Name;
--- /dev/null
+++ b/src/servicelevel/internal/renderjson.cpp
@@ -0,0 +1,127 @@
+#include "servicelevel/burn.h"
+#include "servicelevel/render.h"
+
+#include <nlohmann/json.hpp>
+
+#include <chrono>
+#include <exception>
+#include <optional>
+
+namespace sapphiremoor {
+
+namespace {
+
+using Json = nlohmann::ordered_json;
+
+double meanMilliseconds(const OutcomeCounts &Counts) {
+  constexpr double MicrosecondsPerMillisecond = 1000;
+  if (Counts.succeeded() == 0)
+    return 0;
+  return static_cast<double>(Counts.LatencyMicroseconds) /
+         static_cast<double>(Counts.succeeded()) / MicrosecondsPerMillisecond;
+}
+
+Json jsonOf(const OutcomeCounts &Counts, const Objectives &Objective) {
+  return {{"good", Counts.Good},
+          {"slow", Counts.Slow},
+          {"failed", Counts.Failed},
+          {"refused", Counts.Refused},
+          {"unknown", Counts.Unknown},
+          {"latency_us", Counts.LatencyMicroseconds},
+          {"mean_ms", meanMilliseconds(Counts)},
+          {"availability_burn", availabilityBurn(Counts, Objective)},
+          {"latency_burn", latencyBurn(Counts, Objective)}};
+}
+
+Json jsonOf(const BurnRow &Row) {
+  Json Windows = Json::object();
+  for (std::size_t I = 0; I < BurnWindows.size(); ++I)
+    Windows[std::string(BurnWindows[I].Key)] =
+        jsonOf(Row.Windows[I], Row.Objectives);
+  const std::chrono::duration<double, std::milli> Latency =
+      Row.Objectives.Latency;
+  return {{"service", Row.Service},
+          {"team", Row.Team},
+          {"objectives",
+           {{"availability", Row.Objectives.Availability},
+            {"latency_ms", Latency.count()},
+            {"latency_share", Row.Objectives.LatencyShare}}},
+          {"windows", std::move(Windows)},
+          {"availability_budget_left", availabilityBudgetLeft(Row)},
+          {"latency_budget_left", latencyBudgetLeft(Row)}};
+}
+
+/// Unlike get(), get_ref() refuses negative and fractional numbers.
+uint64_t countOf(const Json &Object, const char *Key) {
+  return Object.at(Key).get_ref<const Json::number_unsigned_t &>();
+}
+
+OutcomeCounts countsOf(const Json &Object) {
+  return {countOf(Object, "good"),    countOf(Object, "slow"),
+          countOf(Object, "failed"),  countOf(Object, "refused"),
+          countOf(Object, "unknown"), countOf(Object, "latency_us")};
+}
+
+/// Returns the objectives of a row, or nothing if a value is out of range.
+std::optional<Objectives> objectivesOf(const Json &Object) {
+  constexpr double MaxLatencyMs = 1e9;
+  const double Availability = Object.at("availability").get<double>();
+  const double LatencyMs = Object.at("latency_ms").get<double>();
+  const double LatencyShare = Object.at("latency_share").get<double>();
+  const auto IsShare = [](double Share) { return Share >= 0 && Share < 1; };
+  if (!IsShare(Availability) || !IsShare(LatencyShare) || LatencyMs < 0 ||
+      LatencyMs > MaxLatencyMs)
+    return std::nullopt;
+  const std::chrono::duration<double, std::milli> Latency(LatencyMs);
+  return Objectives{Availability, std::chrono::round<Duration>(Latency),
+                    LatencyShare};
+}
+
+std::optional<BurnRow> rowOf(const Json &Object) {
+  const auto Objective = objectivesOf(Object.at("objectives"));
+  if (!Objective)
+    return std::nullopt;
+  BurnRow Row{Object.at("service").get<std::string>(),
+              Object.at("team").get<std::string>(),
+              *Objective,
+              {}};
+  const Json &Windows = Object.at("windows");
+  for (std::size_t I = 0; I < BurnWindows.size(); ++I)
+    Row.Windows[I] = countsOf(Windows.at(std::string(BurnWindows[I].Key)));
+  return Row;
+}
+
+Error notAReport(const std::string &Cause) {
+  return {ErrorKind::BadJson, "not a burn report: " + Cause,
+          "check that the VM runs the same version"};
+}
+
+} // namespace
+
+std::string renderJson(const BurnReport &Report) {
+  Json Rows = Json::array();
+  for (const BurnRow &Row : Report.Rows)
+    Rows.push_back(jsonOf(Row));
+  const Json Whole{{"vms", Report.Vms}, {"rows", std::move(Rows)}};
+  constexpr int Indent = 2;
+  return Whole.dump(Indent, ' ', false, Json::error_handler_t::replace);
+}
+
+Result<BurnReport> parseReport(std::string_view Text) {
+  try {
+    const Json Whole = Json::parse(Text);
+    BurnReport Report;
+    Report.Vms = Whole.at("vms").get<std::vector<std::string>>();
+    for (const Json &Object : Whole.at("rows")) {
+      const std::optional<BurnRow> Row = rowOf(Object);
+      if (!Row)
+        return notAReport("an objective is out of range");
+      Report.Rows.push_back(*Row);
+    }
+    return Report;
+  } catch (const std::exception &Cause) {
+    return notAReport(Cause.what());
+  }
+}
+
+} // namespace sapphiremoor
--- /dev/null
+++ b/src/servicelevel/types/outcomecounts.h
@@ -0,0 +1,41 @@
+#ifndef SAPPHIREMOOR_SERVICELEVEL_TYPES_OUTCOMECOUNTS_H
+#define SAPPHIREMOOR_SERVICELEVEL_TYPES_OUTCOMECOUNTS_H
+
+#include <compare>
+#include <cstdint>
+
+namespace sapphiremoor {
+
+/// Numbers of requests by outcome over some time.
+struct OutcomeCounts {
+  uint64_t Good = 0;
+  uint64_t Slow = 0;
+  uint64_t Failed = 0;
+  uint64_t Refused = 0;
+  uint64_t Unknown = 0;
+  /// Sum of the response times of the good and slow requests.
+  uint64_t LatencyMicroseconds = 0;
+
+  auto operator<=>(const OutcomeCounts &) const = default;
+
+  OutcomeCounts &operator+=(const OutcomeCounts &Other) {
+    Good += Other.Good;
+    Slow += Other.Slow;
+    Failed += Other.Failed;
+    Refused += Other.Refused;
+    Unknown += Other.Unknown;
+    LatencyMicroseconds += Other.LatencyMicroseconds;
+    return *this;
+  }
+
+  /// Requests that completed.
+  uint64_t succeeded() const { return Good + Slow; }
+  /// Requests that spend the availability budget.
+  uint64_t lost() const { return Failed + Unknown; }
+  /// Requests that the availability objective counts; refusals are left out.
+  uint64_t answered() const { return succeeded() + lost(); }
+};
+
+} // namespace sapphiremoor
+
+#endif // SAPPHIREMOOR_SERVICELEVEL_TYPES_OUTCOMECOUNTS_H
