--- a/src/claims/tests/fakenetwork.cpp
+++ b/src/claims/tests/fakenetwork.cpp
@@ -136,7 +136,7 @@
 
 void FakeNetwork::apply(Node &Vm, const ClaimEffects &Effects, int Hops) {
   for (const ClaimEffect &Effect : Effects)
-    if (const auto *Message = std::get_if<SendTo>(&Effect))
+    if (const auto *Message = std::get_if<SendClaim>(&Effect))
       send(Vm.State->Self, Message->To,
            {Vm.State->Self, Message->To, Message->Message});
     else
