--- a/src/daemon/internal/jobexecutor.cpp
+++ b/src/daemon/internal/jobexecutor.cpp
@@ -6,18 +6,6 @@
 
 namespace sapphiremoor {
 
-/// One job between its grant and its answer.
-struct JobExecutor::RunningJob {
-  std::string Label;
-  JobRequest Job;
-  Instant Deadline;
-  std::vector<std::string> Results;
-  std::size_t Remaining = 0;
-  /// Starts whose task may have run. While it is zero, the job has not run.
-  std::size_t PossibleStarts = 0;
-  AnswerHandler Handler;
-};
-
 namespace {
 
 constexpr int HttpOk = 200;
--- a/src/daemon/internal/jobrouter.cpp
+++ b/src/daemon/internal/jobrouter.cpp
@@ -1,5 +1,6 @@
 #include "daemon/jobrouter.h"
 
+#include "claims/keytext.h"
 #include "daemon/internal/answers.h"
 #include "framework/eventlog/eventlog.h"
 #include "gateway/answerformat.h"
--- a/src/daemon/jobexecutor.h
+++ b/src/daemon/jobexecutor.h
@@ -62,7 +62,17 @@
   const PlacementState &placement() const { return State; }
 
 private:
-  struct RunningJob;
+  /// One job between its grant and its answer.
+  struct RunningJob {
+    std::string Label;
+    JobRequest Job;
+    Instant Deadline;
+    std::vector<std::string> Results;
+    std::size_t Remaining = 0;
+    /// Starts whose task may have run. While it is zero, the job has not run.
+    std::size_t PossibleStarts = 0;
+    AnswerHandler Handler;
+  };
 
   void schedulePump();
   void pump();
