--- /dev/null
+++ b/src/framework/storage/internal/folderfile.h
@@ -0,0 +1,42 @@
+#ifndef SAPPHIREMOOR_FRAMEWORK_STORAGE_INTERNAL_FOLDERFILE_H
+#define SAPPHIREMOOR_FRAMEWORK_STORAGE_INTERNAL_FOLDERFILE_H
+
+#include "framework/core/result.h"
+#include "framework/storage/fileoperations.h"
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace sapphiremoor::detail {
+
+/// Returns a StorageFailure that names the failed step, the path and errno.
+Error storageFailure(std::string_view Step, const std::string &Path);
+
+/// Returns a CorruptData error for \p Path.
+Error corruptData(const std::string &Path, std::string_view Why);
+
+/// Returns the content of \p Path, or nothing if the file does not exist.
+Result<std::optional<std::string>> readWholeFile(const std::string &Path);
+
+/// Writes all of \p Bytes at the descriptor's position. A short write is
+/// continued; a write of nothing is a failure.
+Result<Done> writeAll(const FileOperations &Files, int Descriptor,
+                      std::string_view Bytes, const std::string &Path);
+
+/// Replaces Folder/Name atomically: writes a temporary file, syncs it, renames
+/// it and syncs the folder.
+Result<Done> replaceFile(const FileOperations &Files, const std::string &Folder,
+                         const std::string &Name, std::string_view Bytes);
+
+/// Returns \p Payload with a leading magic and checksum.
+std::string sealFile(std::string_view Payload);
+
+/// Reads Folder/Name as written by sealFile. Nothing if there is no such file,
+/// CorruptData if the checksum does not match.
+Result<std::optional<std::string>> readSealedFile(const std::string &Folder,
+                                                  const std::string &Name);
+
+} // namespace sapphiremoor::detail
+
+#endif // SAPPHIREMOOR_FRAMEWORK_STORAGE_INTERNAL_FOLDERFILE_H
--- /dev/null
+++ b/src/framework/storage/internal/storagetask.cpp
@@ -0,0 +1,103 @@
+#include "framework/storage/storagetask.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace sapphiremoor {
+
+namespace {
+
+template <typename... Handlers> struct Overloaded : Handlers... {
+  using Handlers::operator()...;
+};
+template <typename... Handlers>
+Overloaded(Handlers...) -> Overloaded<Handlers...>;
+
+} // namespace
+
+StorageTask::StorageTask(std::unique_ptr<RecordLog> Log, ReplyHandler OnReplies)
+    : Log(std::move(Log)), OnReplies(std::move(OnReplies)),
+      Thread([this] { run(); }) {}
+
+StorageTask::~StorageTask() {
+  {
+    const std::lock_guard Lock(Mutex);
+    Stopping = true;
+  }
+  Wakeup.notify_one();
+  Thread.join();
+}
+
+void StorageTask::submit(StorageRequest Request) {
+  {
+    const std::lock_guard Lock(Mutex);
+    Queue.push_back(std::move(Request));
+  }
+  Wakeup.notify_one();
+}
+
+void StorageTask::run() {
+  while (true) {
+    std::vector<StorageRequest> Batch = nextBatch();
+    if (Batch.empty())
+      return;
+    OnReplies(perform(std::move(Batch)));
+  }
+}
+
+std::vector<StorageRequest> StorageTask::nextBatch() {
+  std::unique_lock Lock(Mutex);
+  Wakeup.wait(Lock, [this] { return Stopping || !Queue.empty(); });
+  return std::exchange(Queue, {});
+}
+
+std::vector<StorageReply>
+StorageTask::perform(std::vector<StorageRequest> Batch) {
+  Result<Done> Outcome = Done{};
+  for (const StorageRequest &Request : Batch) {
+    Outcome = start(Request.Action);
+    if (isError(Outcome))
+      break;
+  }
+  if (!isError(Outcome))
+    Outcome = finishBatch();
+  // A failure is the failure of the whole batch: nothing of it is known to be
+  // durable.
+  std::vector<StorageReply> Replies;
+  std::ranges::transform(Batch, std::back_inserter(Replies),
+                         [&Outcome](const StorageRequest &Request) {
+                           return StorageReply{Request.Number, Outcome};
+                         });
+  return Replies;
+}
+
+Result<Done> StorageTask::start(const StorageAction &Action) {
+  return std::visit(
+      Overloaded{[this](const AppendRecords &Append) {
+                   return Log->append(Append.FirstIndex, Append.Records);
+                 },
+                 [this](const TruncateRecords &Truncate) {
+                   return Log->truncateFrom(Truncate.FromIndex);
+                 },
+                 [this](const ReplaceState &Replace) -> Result<Done> {
+                   WaitingState = Replace.Bytes;
+                   return Done{};
+                 },
+                 [this](const ReplaceSnapshot &Replace) {
+                   return Log->replaceSnapshot(Replace.Bytes, Replace.KeepFrom,
+                                               Replace.KeepNone);
+                 }},
+      Action);
+}
+
+/// The log is synced before the state is written: a recovered state never
+/// names a committed record that the log lacks, unless the log was damaged.
+Result<Done> StorageTask::finishBatch() {
+  Result<Done> Synced = Log->sync();
+  if (isError(Synced))
+    return Synced;
+  const std::optional<std::string> State = std::exchange(WaitingState, {});
+  return State ? Log->replaceState(*State) : Result<Done>(Done{});
+}
+
+} // namespace sapphiremoor
--- /dev/null
+++ b/src/framework/storage/storagetask.h
@@ -0,0 +1,57 @@
+#ifndef SAPPHIREMOOR_FRAMEWORK_STORAGE_STORAGETASK_H
+#define SAPPHIREMOOR_FRAMEWORK_STORAGE_STORAGETASK_H
+
+#include "framework/storage/recordlog.h"
+#include "framework/storage/types/storagerequest.h"
+
+#include <condition_variable>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <thread>
+#include <vector>
+
+namespace sapphiremoor {
+
+/// Owns a RecordLog on a thread of its own and carries out requests in their
+/// order. All requests that wait when the thread is free form one batch with
+/// one sync (group commit).
+class StorageTask {
+public:
+  /// Receives the replies of one batch, in the order of the requests. It is
+  /// called on the storage thread, so it has to hand them over.
+  using ReplyHandler = std::function<void(std::vector<StorageReply>)>;
+
+  /// Starts the thread.
+  StorageTask(std::unique_ptr<RecordLog> Log, ReplyHandler OnReplies);
+
+  StorageTask(const StorageTask &) = delete;
+  StorageTask &operator=(const StorageTask &) = delete;
+
+  /// Carries out the requests that wait, then ends the thread.
+  ~StorageTask();
+
+  /// Queues \p Request. May be called on any thread.
+  void submit(StorageRequest Request);
+
+private:
+  void run();
+  std::vector<StorageRequest> nextBatch();
+  std::vector<StorageReply> perform(std::vector<StorageRequest> Batch);
+  Result<Done> start(const StorageAction &Action);
+  Result<Done> finishBatch();
+
+  std::unique_ptr<RecordLog> Log;
+  ReplyHandler OnReplies;
+  /// The last state of the running batch, written after the log is synced.
+  std::optional<std::string> WaitingState;
+  std::mutex Mutex;
+  std::condition_variable Wakeup;
+  std::vector<StorageRequest> Queue;
+  bool Stopping = false;
+  std::thread Thread;
+};
+
+} // namespace sapphiremoor
+
+#endif // SAPPHIREMOOR_FRAMEWORK_STORAGE_STORAGETASK_H
--- /dev/null
+++ b/src/framework/storage/tests/temporaryfolder.h
@@ -0,0 +1,35 @@
+#ifndef SAPPHIREMOOR_FRAMEWORK_STORAGE_TESTS_TEMPORARYFOLDER_H
+#define SAPPHIREMOOR_FRAMEWORK_STORAGE_TESTS_TEMPORARYFOLDER_H
+
+#include "framework/core/random.h"
+
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+#include <string>
+
+namespace sapphiremoor::testing {
+
+/// A folder that exists as long as this object.
+struct TemporaryFolder {
+  std::string Path = (std::filesystem::temp_directory_path() /
+                      ("sapphiremoor-" + std::to_string(secureRandom64())))
+                         .string();
+
+  TemporaryFolder() { std::filesystem::create_directories(Path); }
+  TemporaryFolder(const TemporaryFolder &) = delete;
+  TemporaryFolder &operator=(const TemporaryFolder &) = delete;
+  ~TemporaryFolder() { std::filesystem::remove_all(Path); }
+
+  std::string read(const std::string &Name) const {
+    std::ifstream File(Path + "/" + Name, std::ios::binary);
+    return {std::istreambuf_iterator<char>(File), {}};
+  }
+  void write(const std::string &Name, const std::string &Bytes) const {
+    std::ofstream(Path + "/" + Name, std::ios::binary) << Bytes;
+  }
+};
+
+} // namespace sapphiremoor::testing
+
+#endif // SAPPHIREMOOR_FRAMEWORK_STORAGE_TESTS_TEMPORARYFOLDER_H
--- /dev/null
+++ b/src/framework/storage/types/recoveredfolder.h
@@ -0,0 +1,28 @@
+#ifndef SAPPHIREMOOR_FRAMEWORK_STORAGE_TYPES_RECOVEREDFOLDER_H
+#define SAPPHIREMOOR_FRAMEWORK_STORAGE_TYPES_RECOVEREDFOLDER_H
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace sapphiremoor {
+
+/// What a data folder held when it was opened.
+struct RecoveredFolder {
+  /// Random bits drawn when the folder was first used. A wiped folder gets
+  /// others.
+  uint64_t Identity = 0;
+  /// Index of Records[0], or of the next record if there is none.
+  uint64_t FirstIndex = 1;
+  std::vector<std::string> Records;
+  /// Bytes of an incomplete last append that were cut off.
+  std::size_t CutBytes = 0;
+  std::optional<std::string> Snapshot;
+  std::optional<std::string> State;
+};
+
+} // namespace sapphiremoor
+
+#endif // SAPPHIREMOOR_FRAMEWORK_STORAGE_TYPES_RECOVEREDFOLDER_H
