Add the replicated log as a pure decision module

Cause: configuration changes have to be accepted by a majority of the voters, in one order, and must survive the loss of a voter, a cut and a restart. Ruled out: exchanging one voter for another in one step (the old and the new majority can be disjoint); a vote decided by a replica's own list of voters (a voter just added could then refuse the vote that its cluster needs), the identity in each message decides instead. Conclusion: the daemon can connect it to the storage task and the peer links.

--- /dev/null
+++ b/src/replication/internal/replica.cpp
@@ -0,0 +1,92 @@
+#include "replication/replica.h"
+#include "replication/internal/replicastep.h"
+
+namespace sapphiremoor {
+
+namespace {
+
+/// Handles an event of a replica whose data folder works.
+struct EventHandler {
+  detail::ReplicaStep &Step;
+
+  void operator()(const Tick &) const {
+    if (Step.State.Role == ReplicaRole::Leader)
+      detail::leaderTick(Step);
+    else if (Step.Now >= Step.State.ElectionDeadline)
+      detail::onElectionTimeout(Step);
+  }
+  void operator()(const Received &Event) const {
+    const bool NameMatches = std::visit(
+        [&Event](const auto &Message) {
+          return Message.Header.From.Name == Event.From;
+        },
+        Event.Message);
+    if (NameMatches)
+      detail::receive(Step, Event.Message);
+  }
+  void operator()(const Propose &Event) const {
+    detail::onPropose(Step, Event);
+  }
+  void operator()(const ProposeVoterChange &Event) const {
+    detail::onProposeVoterChange(Step, Event);
+  }
+  void operator()(const Persisted &Event) const {
+    detail::releaseHeld(Step, Event.Number);
+  }
+  void operator()(const StorageLost &) const {
+    detail::stepDown(Step);
+    Step.State.Role = ReplicaRole::Lost;
+    Step.State.Leader.reset();
+    Step.State.Held.clear();
+  }
+  void operator()(const SnapshotMade &Event) const {
+    ReplicaState &State = Step.State;
+    if (Event.Index <= State.Snapshot.Index || Event.Index > State.Hard.Commit)
+      return;
+    detail::takeSnapshot(Step,
+                         {Event.Index, detail::termAt(State, Event.Index),
+                          detail::votersAt(State, Event.Index).first,
+                          Event.Bytes},
+                         false);
+  }
+};
+
+/// A replica without its data folder only refuses proposals.
+void stepLost(detail::ReplicaStep &Step, const ReplicaEvent &Event) {
+  if (const auto *Request = std::get_if<Propose>(&Event))
+    detail::onPropose(Step, *Request);
+  if (const auto *Request = std::get_if<ProposeVoterChange>(&Event))
+    detail::onProposeVoterChange(Step, *Request);
+}
+
+} // namespace
+
+std::vector<ReplicaEffect> step(ReplicaState &State, const ReplicaEvent &Event,
+                                Instant Now, Random &Rng) {
+  detail::ReplicaStep Step{State, Now, Rng, {}};
+  if (State.Role == ReplicaRole::Lost)
+    stepLost(Step, Event);
+  else
+    std::visit(EventHandler{Step}, Event);
+  return std::move(Step.Effects);
+}
+
+std::string_view roleName(ReplicaRole Role) {
+  switch (Role) {
+  case ReplicaRole::Learner:
+    return "learner";
+  case ReplicaRole::Follower:
+    return "follower";
+  case ReplicaRole::PreCandidate:
+    return "pre_candidate";
+  case ReplicaRole::Candidate:
+    return "candidate";
+  case ReplicaRole::Leader:
+    return "leader";
+  case ReplicaRole::Lost:
+    return "lost";
+  }
+  return "lost";
+}
+
+} // namespace sapphiremoor
--- /dev/null
+++ b/src/replication/tests/fakenetwork.h
@@ -0,0 +1,112 @@
+#ifndef SAPPHIREMOOR_REPLICATION_TESTS_FAKENETWORK_H
+#define SAPPHIREMOOR_REPLICATION_TESTS_FAKENETWORK_H
+
+#include "replication/durability.h"
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace sapphiremoor::testing {
+
+/// The state that the owner of a replica builds from applied entries.
+struct AppliedState {
+  uint64_t Index = 0;
+  uint64_t Hash = 0;
+};
+
+/// One VM with its disk. Requests wait in Pending until they are durable.
+struct FakeNode {
+  ReplicaState State;
+  RecoveredFolder Disk;
+  std::deque<StorageRequest> Pending;
+  AppliedState Applied;
+  bool Up = false;
+  uint64_t Run = 0;
+};
+
+/// A seeded network of replicas that delays, loses and duplicates messages, and
+/// checks the safety rules at each step. A broken rule is kept in Faults.
+class FakeNetwork {
+public:
+  /// Starts \p Voters replicas "a", "b" and so on that vote.
+  FakeNetwork(std::size_t Voters, uint64_t Seed);
+
+  /// Lets \p Time pass.
+  void run(Duration Time);
+  void crash(const std::string &Name);
+  void restart(const std::string &Name);
+  /// Restarts the VM with an empty disk.
+  void wipe(const std::string &Name);
+  void loseStorage(const std::string &Name) { handle(Name, StorageLost{}); }
+  /// Drops all messages from \p From to \p To until heal().
+  void cut(const std::string &From, const std::string &To);
+  /// Cuts \p Name off in both directions.
+  void isolate(const std::string &Name);
+  void heal() { Cuts.clear(); }
+  /// Proposes at one VM; the outcome appears in Results.
+  uint64_t propose(const std::string &Name, const std::string &Bytes);
+  uint64_t changeVoter(VoterChangeKind Kind, const Voter &Changed);
+  void makeSnapshot(const std::string &Name);
+  /// Hands one event to a replica and carries out the effects.
+  void handle(const std::string &Name, const ReplicaEvent &Event);
+
+  /// The leader with the highest term, if any.
+  std::optional<std::string> leader() const;
+  Voter voter(const std::string &Name) { return Nodes[Name].State.Config.Self; }
+  /// Runs until all running VMs have applied the same entries, at most 60 s.
+  bool settles();
+  void checkLogsMatch();
+
+  std::map<std::string, FakeNode> Nodes;
+  std::map<uint64_t, Result<uint64_t>> Results;
+  std::set<std::string> Faults;
+  /// Changes of role seen, as "from to".
+  std::set<std::string> RoleChanges;
+  uint64_t HighestTerm = 0;
+  double Loss = 0;
+  double Duplication = 0;
+  Random Rng;
+
+private:
+  struct Delivery {
+    std::string From;
+    std::string To;
+    std::optional<ReplicationMessage> Message;
+    uint64_t Run = 0;
+    uint64_t Persist = 0;
+  };
+
+  void start(const std::string &Name);
+  void carryOut(const std::string &Name, std::vector<ReplicaEffect> Effects);
+  void send(const std::string &From, const SendTo &Effect);
+  void persist(const std::string &Name, StorageRequest Request);
+  void deliver(const Delivery &Each);
+  void finishPersist(const std::string &Name, uint64_t Number);
+  void apply(const std::string &Name, const Apply &Effect);
+  void install(const std::string &Name, const InstallSnapshot &Effect);
+  void checkLeader(const std::string &Name, uint64_t Term);
+  bool chance(double Probability);
+  Duration delay(int LongestMs);
+
+  Instant Now{};
+  Instant NextTick{};
+  std::multimap<Instant, Delivery> Queue;
+  std::set<std::pair<std::string, std::string>> Cuts;
+  std::vector<Voter> FirstVoters;
+  std::map<uint64_t, Voter> LeaderOfTerm;
+  /// Hash of all entries up to each committed index.
+  std::map<uint64_t, uint64_t> Committed;
+  std::map<uint64_t, std::string> CommittedBytes;
+  uint64_t LastRequest = 0;
+};
+
+/// Performs \p Action on the disk, as RecordLog does.
+void performOn(RecoveredFolder &Disk, const StorageAction &Action);
+
+} // namespace sapphiremoor::testing
+
+#endif // SAPPHIREMOOR_REPLICATION_TESTS_FAKENETWORK_H
--- /dev/null
+++ b/src/replication/tests/replica_test.cpp
@@ -0,0 +1,255 @@
+#include "replication/tests/fakenetwork.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <string>
+
+using namespace sapphiremoor;
+using namespace std::chrono_literals;
+using sapphiremoor::testing::FakeNetwork;
+
+namespace {
+
+bool accepted(const FakeNetwork &Net, uint64_t Request) {
+  const auto Found = Net.Results.find(Request);
+  return Found != Net.Results.end() && !isError(Found->second);
+}
+
+/// Proposes at the leader, as often as needed, until it is committed.
+bool commits(FakeNetwork &Net, const std::string &Bytes) {
+  for (int Round = 0; Round < 30; ++Round) {
+    if (const auto Leader = Net.leader()) {
+      const uint64_t Request = Net.propose(*Leader, Bytes);
+      Net.run(1s);
+      if (accepted(Net, Request))
+        return true;
+    }
+    Net.run(1s);
+  }
+  return false;
+}
+
+/// Exchanges \p Old for the VM that now has its name.
+bool replaceVoter(FakeNetwork &Net, const Voter &Old) {
+  for (int Round = 0; Round < 30; ++Round) {
+    Net.run(1s);
+    const Voter New = Net.voter(Old.Name);
+    const uint64_t Add = Net.changeVoter(VoterChangeKind::Add, New);
+    Net.run(1s);
+    const uint64_t Remove = Net.changeVoter(VoterChangeKind::Remove, Old);
+    Net.run(1s);
+    if (accepted(Net, Add) && accepted(Net, Remove))
+      return true;
+  }
+  return false;
+}
+
+/// One random fault or proposal.
+void disturb(FakeNetwork &Net) {
+  const auto Name = [&Net] {
+    const auto Position =
+        static_cast<std::ptrdiff_t>(Net.Rng() % Net.Nodes.size());
+    return std::next(Net.Nodes.begin(), Position)->first;
+  };
+  const std::string Bytes = std::to_string(Net.Rng());
+  switch (Net.Rng() % 16) {
+  case 0:
+    return Net.cut(Name(), Name());
+  case 1:
+    return Net.isolate(Name());
+  case 2:
+  case 3:
+    return Net.heal();
+  case 4:
+    return Net.crash(Name());
+  case 5:
+  case 6:
+    return Net.restart(Name());
+  case 7:
+    return Net.makeSnapshot(Name());
+  case 8:
+    for (const auto &[Each, Node] : Net.Nodes)
+      Net.propose(Each, Bytes);
+    return;
+  default:
+    Net.propose(Net.leader().value_or(Name()), Bytes);
+  }
+}
+
+void restartAll(FakeNetwork &Net) {
+  Net.heal();
+  for (const auto &[Name, Node] : Net.Nodes)
+    Net.restart(Name);
+}
+
+void checkNoFaults(const FakeNetwork &Net) {
+  for (const std::string &Fault : Net.Faults)
+    FAIL_CHECK(Fault);
+}
+
+/// Runs \p Steps random faults, then checks that everything heals.
+std::set<std::string> runRandomFaults(std::size_t Voters, uint64_t Seed,
+                                      int Steps) {
+  CAPTURE(Seed);
+  FakeNetwork Net(Voters, Seed);
+  Net.Loss = 0.05;
+  Net.Duplication = 0.05;
+  for (int I = 0; I < Steps; ++I) {
+    disturb(Net);
+    Net.run(Duration(Net.Rng() % 400'000));
+  }
+  restartAll(Net);
+  CHECK(commits(Net, "last"));
+  CHECK(Net.settles());
+  checkNoFaults(Net);
+  return Net.RoleChanges;
+}
+
+} // namespace
+
+TEST_CASE("three voters stay safe under random faults") {
+  // Guards election safety, log matching and committed entries under loss,
+  // duplication, reordering, cuts in one and both directions, and crashes.
+  for (uint64_t Seed = 1; Seed <= 60; ++Seed)
+    runRandomFaults(3, Seed, 150);
+}
+
+TEST_CASE("five voters stay safe under random faults") {
+  for (uint64_t Seed = 101; Seed <= 130; ++Seed)
+    runRandomFaults(5, Seed, 150);
+}
+
+TEST_CASE("a second loss right after a repair loses nothing") {
+  // Guards against a wiped voter that counts before it holds all entries.
+  for (uint64_t Seed = 201; Seed <= 220; ++Seed) {
+    CAPTURE(Seed);
+    FakeNetwork Net(3, Seed);
+    Net.Loss = 0.02;
+    REQUIRE(commits(Net, "before"));
+    for (const std::string Lost : {"a", "b", "c", "a"}) {
+      const Voter Old = Net.voter(Lost);
+      Net.wipe(Lost);
+      REQUIRE(commits(Net, "without " + Lost));
+      REQUIRE(replaceVoter(Net, Old));
+    }
+    Net.crash("b");
+    CHECK(commits(Net, "after"));
+    CHECK(Net.settles());
+    checkNoFaults(Net);
+  }
+}
+
+TEST_CASE("a wiped voter neither votes nor counts") {
+  // Guards against a majority that includes a disk that forgot entries.
+  FakeNetwork Net(3, 5);
+  REQUIRE(commits(Net, "x"));
+  const std::string Leader = Net.leader().value();
+  Net.crash(Leader);
+  const std::string Wiped = Leader == "a" ? "b" : "a";
+  Net.wipe(Wiped);
+  Net.run(30s);
+  CHECK_FALSE(Net.leader());
+  CHECK(Net.Nodes[Wiped].State.Role == ReplicaRole::Learner);
+  Net.restart(Leader);
+  CHECK(commits(Net, "y"));
+  CHECK(Net.settles());
+  checkNoFaults(Net);
+}
+
+TEST_CASE("a voter back from a long cut leaves term and leader alone") {
+  // Guards against elections forced by a voter that could hear nobody.
+  for (const bool OneWay : {false, true}) {
+    FakeNetwork Net(3, 9);
+    REQUIRE(commits(Net, "x"));
+    const std::string Leader = Net.leader().value();
+    const std::string Cut = Leader == "a" ? "b" : "a";
+    const uint64_t Term = Net.HighestTerm;
+    if (OneWay)
+      Net.cut(Leader, Cut);
+    else
+      Net.isolate(Cut);
+    Net.run(60s);
+    CHECK(commits(Net, "y"));
+    Net.heal();
+    CHECK(Net.settles());
+    CHECK(Net.HighestTerm == Term);
+    CHECK(Net.leader() == Leader);
+    checkNoFaults(Net);
+  }
+}
+
+TEST_CASE("a leader that hears nobody steps down for another") {
+  // Guards against a leader whose heartbeats arrive while no reply does.
+  FakeNetwork Net(3, 11);
+  REQUIRE(commits(Net, "x"));
+  const std::string Leader = Net.leader().value();
+  for (const auto &[Name, Node] : Net.Nodes)
+    Net.cut(Name, Leader);
+  Net.run(10s);
+  CHECK(Net.leader() != Leader);
+  CHECK(commits(Net, "y"));
+  checkNoFaults(Net);
+}
+
+TEST_CASE("nothing is acknowledged before it is durable") {
+  // Guards against votes and acknowledgements that overtake the sync.
+  FakeNetwork Net(3, 13);
+  REQUIRE(commits(Net, "x"));
+  const std::string Leader = Net.leader().value();
+  ReplicaState Follower = Net.Nodes[Leader == "a" ? "b" : "a"].State;
+  const auto Acknowledged = [](const std::vector<ReplicaEffect> &Effects) {
+    return std::ranges::any_of(Effects, [](const ReplicaEffect &Effect) {
+      const auto *Sent = std::get_if<SendTo>(&Effect);
+      return Sent && (std::holds_alternative<VoteReply>(Sent->Message) ||
+                      std::holds_alternative<AppendReply>(Sent->Message));
+    });
+  };
+  const Instant Later = instantAt(1h);
+  const uint64_t Last = lastIndex(Follower);
+  const MessageHeader Header{Net.voter(Leader), Follower.Config.Self.Identity,
+                             Follower.Hard.Term + 1};
+  const VoteRequest Vote{Header, Last, Follower.Log.back().Term};
+  CHECK_FALSE(
+      Acknowledged(step(Follower, Received{Leader, Vote}, Later, Net.Rng)));
+  const AppendRequest Append{Header,
+                             Last,
+                             Follower.Log.back().Term,
+                             {{Header.Term, EntryKind::TermStart, {}, {}}},
+                             0};
+  CHECK_FALSE(
+      Acknowledged(step(Follower, Received{Leader, Append}, Later, Net.Rng)));
+  const Persisted All{Follower.LastPersist};
+  CHECK(Acknowledged(step(Follower, All, Later, Net.Rng)));
+}
+
+TEST_CASE("a replica whose storage failed neither votes nor leads") {
+  // Guards against acknowledging entries that a failed disk may not hold.
+  FakeNetwork Net(3, 17);
+  REQUIRE(commits(Net, "x"));
+  const std::string Leader = Net.leader().value();
+  Net.loseStorage(Leader);
+  const uint64_t Refused = Net.propose(Leader, "y");
+  CHECK(errorOf(Net.Results.at(Refused)).Kind == ErrorKind::StorageFailure);
+  CHECK(commits(Net, "z"));
+  Net.crash(Net.leader().value());
+  Net.run(30s);
+  CHECK_FALSE(Net.leader());
+  checkNoFaults(Net);
+}
+
+TEST_CASE("two voter changes at a time are refused") {
+  // Guards against sets of voters with disjoint majorities.
+  FakeNetwork Net(5, 19);
+  REQUIRE(commits(Net, "x"));
+  const uint64_t First =
+      Net.changeVoter(VoterChangeKind::Remove, Net.voter("a"));
+  const uint64_t Second =
+      Net.changeVoter(VoterChangeKind::Remove, Net.voter("b"));
+  Net.run(2s);
+  CHECK(accepted(Net, First));
+  CHECK(errorOf(Net.Results.at(Second)).Kind == ErrorKind::Conflict);
+  const uint64_t Unknown = Net.changeVoter(VoterChangeKind::Add, {"z", 1});
+  CHECK(errorOf(Net.Results.at(Unknown)).Kind == ErrorKind::Conflict);
+  checkNoFaults(Net);
+}
--- /dev/null
+++ b/src/replication/types/logentry.h
@@ -0,0 +1,83 @@
+#ifndef SAPPHIREMOOR_REPLICATION_TYPES_LOGENTRY_H
+#define SAPPHIREMOOR_REPLICATION_TYPES_LOGENTRY_H
+
+#include <cereal/types/string.hpp>
+#include <cereal/types/vector.hpp>
+
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace sapphiremoor {
+
+/// A replica's name with the identity of its data folder. A wiped VM has the
+/// same name but another identity, so it is another voter.
+struct Voter {
+  std::string Name;
+  uint64_t Identity = 0;
+
+  auto operator<=>(const Voter &) const = default;
+
+  template <typename Archive> void serialize(Archive &Ar) {
+    Ar(Name, Identity);
+  }
+};
+
+/// What a log entry carries.
+enum class EntryKind : uint8_t {
+  /// The bytes of a proposal.
+  Command,
+  /// A new set of voters, in force as soon as it is in the log.
+  Voters,
+  /// Nothing: the first entry of a leader's term.
+  TermStart,
+};
+
+/// One entry of the replicated log.
+struct LogEntry {
+  uint64_t Term = 0;
+  EntryKind Kind = EntryKind::Command;
+  std::string Bytes;
+  std::vector<Voter> Voters;
+
+  auto operator<=>(const LogEntry &) const = default;
+
+  template <typename Archive> void serialize(Archive &Ar) {
+    Ar(Term, Kind, Bytes, Voters);
+  }
+};
+
+/// The state after the entry \p Index, which replaces all entries up to it.
+struct ReplicaSnapshot {
+  uint64_t Index = 0;
+  uint64_t Term = 0;
+  std::vector<Voter> Voters;
+  std::string Bytes;
+
+  auto operator<=>(const ReplicaSnapshot &) const = default;
+
+  template <typename Archive> void serialize(Archive &Ar) {
+    Ar(Index, Term, Voters, Bytes);
+  }
+};
+
+/// What a replica has to remember besides its entries. The committed index is
+/// kept so that a VM that restarts in a minority does not go back to an older
+/// configuration.
+struct HardState {
+  uint64_t Term = 0;
+  /// Identity voted for in this term; 0 is none.
+  uint64_t VotedFor = 0;
+  uint64_t Commit = 0;
+
+  auto operator<=>(const HardState &) const = default;
+
+  template <typename Archive> void serialize(Archive &Ar) {
+    Ar(Term, VotedFor, Commit);
+  }
+};
+
+} // namespace sapphiremoor
+
+#endif // SAPPHIREMOOR_REPLICATION_TYPES_LOGENTRY_H
--- /dev/null
+++ b/src/replication/types/replicaevent.h
@@ -0,0 +1,118 @@
+#ifndef SAPPHIREMOOR_REPLICATION_TYPES_REPLICAEVENT_H
+#define SAPPHIREMOOR_REPLICATION_TYPES_REPLICAEVENT_H
+
+#include "framework/core/result.h"
+#include "replication/types/replicationmessage.h"
+
+#include <string>
+#include <variant>
+
+namespace sapphiremoor {
+
+/// Time has passed. To be sent at least every 50 ms.
+struct Tick {};
+
+/// A message has arrived over the authenticated link of the VM \p From.
+struct Received {
+  std::string From;
+  ReplicationMessage Message;
+};
+
+/// Asks for \p Bytes to be replicated.
+struct Propose {
+  uint64_t RequestNumber = 0;
+  std::string Bytes;
+};
+
+/// Whether a voter joins or leaves.
+enum class VoterChangeKind { Add, Remove };
+
+/// Asks for one voter to be added or removed.
+struct ProposeVoterChange {
+  uint64_t RequestNumber = 0;
+  VoterChangeKind Kind = VoterChangeKind::Add;
+  Voter Changed;
+};
+
+/// All persist effects up to \p Number are durable.
+struct Persisted {
+  uint64_t Number = 0;
+};
+
+/// The data folder failed; nothing on it can be relied on any longer.
+struct StorageLost {};
+
+/// The owner's state after it applied the entry \p Index.
+struct SnapshotMade {
+  uint64_t Index = 0;
+  std::string Bytes;
+};
+
+using ReplicaEvent = std::variant<Tick, Received, Propose, ProposeVoterChange,
+                                  Persisted, StorageLost, SnapshotMade>;
+
+/// Send \p Message to the VM \p Name.
+struct SendTo {
+  std::string Name;
+  ReplicationMessage Message;
+};
+
+/// Append entries to the log on disk. Persist effects are carried out in the
+/// order of their numbers.
+struct PersistEntries {
+  uint64_t Number = 0;
+  uint64_t FirstIndex = 0;
+  std::vector<LogEntry> Entries;
+};
+
+/// Write the hard state to disk.
+struct PersistVote {
+  uint64_t Number = 0;
+  HardState State;
+};
+
+/// Remove the entry \p Index and all later ones from the log on disk.
+struct TruncateFrom {
+  uint64_t Number = 0;
+  uint64_t Index = 0;
+};
+
+/// Write the snapshot to disk and drop the entries that it replaces.
+struct SaveSnapshot {
+  uint64_t Number = 0;
+  ReplicaSnapshot Snapshot;
+  /// True if also the later entries are dropped.
+  bool KeepNone = false;
+};
+
+/// Replace the owner's state by the state after the entry \p Index.
+struct InstallSnapshot {
+  uint64_t Index = 0;
+  std::string Bytes;
+};
+
+/// Apply the committed \p Bytes to the owner's state.
+struct Apply {
+  uint64_t Index = 0;
+  std::string Bytes;
+};
+
+/// The outcome of a proposal: its committed index, or why it was refused. An
+/// error of kind Timeout says that the outcome is unknown.
+struct ProposeResult {
+  uint64_t RequestNumber = 0;
+  Result<uint64_t> Outcome;
+};
+
+/// This replica now leads in \p Term.
+struct BecameLeader {
+  uint64_t Term = 0;
+};
+
+using ReplicaEffect = std::variant<SendTo, PersistEntries, PersistVote,
+                                   TruncateFrom, SaveSnapshot, InstallSnapshot,
+                                   Apply, ProposeResult, BecameLeader>;
+
+} // namespace sapphiremoor
+
+#endif // SAPPHIREMOOR_REPLICATION_TYPES_REPLICAEVENT_H
