--- /dev/null
+++ b/src/configuration/internal/boundedinput.h
@@ -0,0 +1,101 @@
+#ifndef SAPPHIREMOOR_CONFIGURATION_INTERNAL_BOUNDEDINPUT_H
+#define SAPPHIREMOOR_CONFIGURATION_INTERNAL_BOUNDEDINPUT_H
+
+#include <cereal/archives/portable_binary.hpp>
+#include <cereal/cereal.hpp>
+
+#include <algorithm>
+#include <cstddef>
+#include <cstdint>
+#include <cstring>
+#include <string_view>
+#include <type_traits>
+
+namespace sapphiremoor {
+
+/// Reads what cereal's portable binary archive wrote on a little-endian host,
+/// from bytes that may be forged. Unlike cereal's own archive it never
+/// allocates for an element count that the remaining bytes cannot hold or that
+/// is over \c MaxCount. After a fault all values read are zero.
+class BoundedInput
+    : public cereal::InputArchive<BoundedInput,
+                                  cereal::AllowEmptyClassElision> {
+public:
+  BoundedInput(std::string_view Bytes, uint64_t MaxCount)
+      : cereal::InputArchive<BoundedInput, cereal::AllowEmptyClassElision>(
+            this),
+        Rest(Bytes), MaxCount(MaxCount) {
+    uint8_t IsLittleEndian = 0;
+    loadBytes(&IsLittleEndian, sizeof(IsLittleEndian));
+    Faulty = Faulty || IsLittleEndian != 1;
+  }
+
+  /// Returns true if all bytes were read without a fault.
+  bool isComplete() const { return !Faulty && Rest.empty(); }
+
+  void loadBytes(void *Target, std::size_t Count) {
+    Faulty = Faulty || Count > Rest.size();
+    if (Faulty) {
+      std::memset(Target, 0, Count);
+      return;
+    }
+    std::memcpy(Target, Rest.data(), Count);
+    Rest.remove_prefix(Count);
+  }
+
+  /// Returns \p Count, or 0 if it cannot be true.
+  uint64_t checkCount(uint64_t Count) {
+    Faulty = Faulty || Count > std::min<uint64_t>(MaxCount, Rest.size());
+    return Faulty ? 0 : Count;
+  }
+
+private:
+  std::string_view Rest;
+  uint64_t MaxCount;
+  bool Faulty = false;
+};
+
+// The names of the following functions are prescribed by cereal.
+
+template <typename T>
+std::enable_if_t<std::is_arithmetic_v<T>>
+CEREAL_LOAD_FUNCTION_NAME(BoundedInput &Ar, T &Value) {
+  Ar.loadBytes(&Value, sizeof(Value));
+}
+
+/// A byte other than 0 and 1 would be no valid bool.
+inline void CEREAL_LOAD_FUNCTION_NAME(BoundedInput &Ar, bool &Value) {
+  uint8_t Byte = 0;
+  Ar.loadBytes(&Byte, sizeof(Byte));
+  Value = Byte != 0;
+}
+
+template <typename T>
+void CEREAL_SERIALIZE_FUNCTION_NAME(BoundedInput &Ar,
+                                    cereal::NameValuePair<T> &Pair) {
+  Ar(Pair.value);
+}
+
+template <typename T>
+void CEREAL_SERIALIZE_FUNCTION_NAME(BoundedInput &Ar,
+                                    cereal::SizeTag<T> &Size) {
+  uint64_t Count = 0;
+  Ar(Count);
+  Size.size = Ar.checkCount(Count);
+}
+
+template <typename T>
+void CEREAL_LOAD_FUNCTION_NAME(BoundedInput &Ar, cereal::BinaryData<T> &Data) {
+  Ar.loadBytes(Data.data, static_cast<std::size_t>(Data.size));
+}
+
+} // namespace sapphiremoor
+
+/// Names the archive whose output BoundedInput reads.
+template <>
+struct cereal::traits::detail::get_output_from_input<
+    sapphiremoor::BoundedInput> {
+  using type = cereal::PortableBinaryOutputArchive;
+};
+
+#endif // SAPPHIREMOOR_CONFIGURATION_INTERNAL_BOUNDEDINPUT_H
--- a/src/configuration/internal/configstate.cpp
+++ b/src/configuration/internal/configstate.cpp
@@ -1,8 +1,10 @@
 #include "configuration/configstate.h"
 
+#include "configuration/internal/boundedinput.h"
 #include "configuration/internal/configcache.h"
 #include "configuration/internal/configrecords.h"
 #include "configuration/internal/shown.h"
+#include "configuration/servicefiles.h"
 #include "framework/codec/crypto.h"
 #include "framework/codec/serial.h"
 
@@ -144,10 +146,11 @@
   const std::string_view Payload = Bytes.substr(DigestBytes);
   if (bytesOf(sha256(Payload)) != Bytes.substr(0, DigestBytes))
     return Corrupt;
-  Result<ConfigState> Decoded = decode<ConfigState>(Payload);
-  if (isError(Decoded))
-    return errorOf(Decoded);
-  ConfigState State = takeValue(std::move(Decoded));
+  ConfigState State;
+  BoundedInput Input(Payload, MaxFileBytes);
+  Input(State);
+  if (!Input.isComplete())
+    return Corrupt;
   if (State.Files.empty())
     return State;
   Result<ConfigCache> Cache =
--- a/src/configuration/internal/jsonbuilder.cpp
+++ b/src/configuration/internal/jsonbuilder.cpp
@@ -21,18 +21,6 @@
   return Colon == std::string::npos ? Whole : Whole.substr(Colon + 2);
 }
 
-/// Returns the length in the text of a token that nlohmann shows with control
-/// characters written as <U+XXXX>.
-std::size_t lengthOf(std::string_view ShownToken) {
-  constexpr std::size_t EscapeLength = 8;
-  std::size_t Escapes = 0;
-  for (std::size_t At = ShownToken.find("<U+"); At != std::string_view::npos;
-       At = ShownToken.find("<U+", At + 1))
-    ++Escapes;
-  const std::size_t Hidden = Escapes * (EscapeLength - 1);
-  return ShownToken.size() > Hidden ? ShownToken.size() - Hidden : 0;
-}
-
 /// Returns a member whose key an earlier member of \p Object has, or null.
 const JsonNode *findRepeatedMember(const JsonNode &Object) {
   std::vector<const JsonNode *> Sorted;
@@ -122,13 +110,13 @@
 
 bool JsonBuilder::end_array() { return close(); }
 
-bool JsonBuilder::parse_error(std::size_t Position,
-                              const std::string &LastToken,
+bool JsonBuilder::parse_error(std::size_t Position, const std::string &,
                               const nlohmann::json::exception &Cause) {
-  const std::size_t End = std::min(Position, Text.size());
-  const std::size_t Length = std::min(lengthOf(LastToken), End);
-  return fail(ErrorKind::BadJson, End - Length, shown(descriptionOf(Cause)),
-              "correct the JSON at this place");
+  // Position counts the characters read, of which the last one may be the end
+  // of the text. The fault lies in the last token.
+  const std::size_t Last = Position == 0 ? 0 : Position - 1;
+  return fail(ErrorKind::BadJson, std::min(nextToken(), Last),
+              shown(descriptionOf(Cause)), "correct the JSON at this place");
 }
 
 JsonNode &JsonBuilder::add(JsonNode::Kind Type) {
@@ -206,7 +194,7 @@
     return Offset;
   const std::size_t End = IsLine ? Rest.find('\n', 2) : Rest.find("*/", 2);
   if (End == std::string_view::npos)
-    return Text.size();
+    return IsLine ? Text.size() : Offset;
   return Offset + End + (IsLine ? 1 : 2);
 }
 
--- /dev/null
+++ b/src/configuration/tests/fuzzsettings.cpp
@@ -0,0 +1,36 @@
+#include "configuration/configstate.h"
+#include "configuration/servicefiles.h"
+#include "configuration/settingsfile.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <cstdlib>
+
+namespace {
+
+/// Every error must name a place and a remedy.
+template <typename T>
+void checkError(const sapphiremoor::Result<T> &Result,
+                std::string_view FileName) {
+  if (!sapphiremoor::isError(Result))
+    return;
+  const sapphiremoor::Error &Failure = sapphiremoor::errorOf(Result);
+  if (Failure.Remedy.empty() || !Failure.Message.starts_with(FileName))
+    std::abort();
+}
+
+/// Feeds one input to each parser of untrusted configuration.
+int fuzzSettings(const uint8_t *Data, std::size_t Size) {
+  const std::string_view Text(reinterpret_cast<const char *>(Data), Size);
+  checkError(sapphiremoor::parseSettings(Text, "vm.json"), "vm.json:");
+  checkError(sapphiremoor::parseServiceFile(Text, "a.json"), "a.json");
+  static_cast<void>(sapphiremoor::decodeState(Text));
+  return 0;
+}
+
+} // namespace
+
+extern "C" int LLVMFuzzerTestOneInput( // NOLINT(readability-identifier-naming)
+    const uint8_t *Data, std::size_t Size) {
+  return fuzzSettings(Data, Size);
+}
