Add the stand-in for a backend server

Process tests and benchmarks need a backend server that counts starts outside of the system, so that a second start of a task cannot go unseen.

Ruled out: counting in the dispatcher, which would count what it believes; buffered lines in the counts file, which a killed process would lose.

--- /dev/null
+++ b/tests/standin/handles.h
@@ -0,0 +1,34 @@
+#ifndef SAPPHIREMOOR_TESTS_STANDIN_HANDLES_H
+#define SAPPHIREMOOR_TESTS_STANDIN_HANDLES_H
+
+#include <event2/event.h>
+#include <event2/http.h>
+
+#include <chrono>
+#include <memory>
+
+namespace sapphiremoor::standin {
+
+/// Releases what libevent created.
+struct Release {
+  void operator()(event_base *Base) const { event_base_free(Base); }
+  void operator()(event *Event) const { event_free(Event); }
+  void operator()(evhttp *Http) const { evhttp_free(Http); }
+  void operator()(evhttp_connection *Link) const {
+    evhttp_connection_free(Link);
+  }
+};
+
+using BaseHandle = std::unique_ptr<event_base, Release>;
+using EventHandle = std::unique_ptr<event, Release>;
+using HttpHandle = std::unique_ptr<evhttp, Release>;
+using LinkHandle = std::unique_ptr<evhttp_connection, Release>;
+
+/// Returns \p Time in the form that libevent takes.
+inline timeval timevalOf(std::chrono::milliseconds Time) {
+  return {Time.count() / 1000, Time.count() % 1000 * 1000};
+}
+
+} // namespace sapphiremoor::standin
+
+#endif // SAPPHIREMOOR_TESTS_STANDIN_HANDLES_H
--- /dev/null
+++ b/tests/standin/options.h
@@ -0,0 +1,60 @@
+#ifndef SAPPHIREMOOR_TESTS_STANDIN_OPTIONS_H
+#define SAPPHIREMOOR_TESTS_STANDIN_OPTIONS_H
+
+#include "framework/core/result.h"
+
+#include <chrono>
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace sapphiremoor::standin {
+
+/// How the stand-in treats its tasks.
+enum class Mode {
+  Fixed,   ///< each task takes --run-ms
+  Slow,    ///< each task takes --slow-ms
+  Failing, ///< each task is answered with 500 at once
+  Silent,  ///< tasks are accepted and never answered
+  Leaving, ///< like Fixed, but leaves after --leave-after tasks
+};
+
+/// Where a server listens.
+struct Endpoint {
+  std::string Address;
+  uint16_t Port = 0;
+
+  auto operator<=>(const Endpoint &) const = default;
+};
+
+/// The command line of one stand-in.
+struct Options {
+  std::string Address = "127.0.0.1";
+  uint16_t Port = 0;           ///< 0: any free port
+  uint16_t AdvertisedPort = 0; ///< 0: the port that it listens on
+  std::string Id = "backend";
+  std::string Worker = "worker";
+  std::string Rack = "rack";
+  std::vector<std::string> Services{"service"};
+  unsigned Slots = 8;
+  std::vector<Endpoint> Announce; ///< empty: it announces itself to nobody
+  std::string Token;
+  Mode Behaviour = Mode::Fixed;
+  std::chrono::milliseconds Run{100};
+  std::chrono::milliseconds Slow{2000};
+  unsigned LeaveAfter = 10;
+  std::string CountsFile; ///< empty: starts are only counted in memory
+};
+
+/// Parses "HOST:PORT"; BadRequest if it has another form.
+Result<Endpoint> parseEndpoint(const std::string &Text);
+
+/// Parses the command line. Returns an exit code instead if the program shall
+/// end, after a message or the help text was printed.
+std::variant<Options, int> parseOptions(int Count, const char *const *Values);
+
+} // namespace sapphiremoor::standin
+
+#endif // SAPPHIREMOOR_TESTS_STANDIN_OPTIONS_H
--- /dev/null
+++ b/tests/standin/taskserver.h
@@ -0,0 +1,70 @@
+#ifndef SAPPHIREMOOR_TESTS_STANDIN_TASKSERVER_H
+#define SAPPHIREMOOR_TESTS_STANDIN_TASKSERVER_H
+
+#include "handles.h"
+#include "options.h"
+#include "startcounter.h"
+
+#include <cstdint>
+#include <functional>
+#include <list>
+#include <string>
+
+namespace sapphiremoor::standin {
+
+/// Runs tasks over HTTP: POST /run/SERVICE with the header X-Task, and
+/// GET /starts for the counts.
+class TaskServer {
+public:
+  TaskServer(event_base *Base, const Options &Settings, StartCounter &Starts);
+
+  /// Starts to listen. Returns the port, or 0 if the address is not free.
+  uint16_t listen();
+
+  /// Refuses new tasks from now on; running ones are finished.
+  void refuseNew() { Refusing = true; }
+
+  unsigned running() const { return static_cast<unsigned>(Tasks.size()); }
+
+  /// Returns whether no task remains that will be answered.
+  bool idle() const;
+
+  /// Called after each answered task.
+  std::function<void()> OnFinished;
+
+  /// Called once when the mode Leaving has had its number of tasks.
+  std::function<void()> OnLeave;
+
+private:
+  struct Task {
+    TaskServer *Server = nullptr;
+    evhttp_request *Request = nullptr; ///< null once the caller is gone
+    std::string Answer;
+    EventHandle Timer;
+    std::list<Task>::iterator Place;
+  };
+
+  static void onRequest(evhttp_request *Request, void *Self);
+  static void onTimer(evutil_socket_t, short, void *Running);
+  static void onClosed(evhttp_connection *, void *Running);
+
+  void run(evhttp_request *Request, const std::string &Service);
+  void start(evhttp_request *Request, const std::string &Service);
+  void finish(Task &Running);
+  bool full() const;
+  bool carries(const std::string &Service) const;
+  std::string answerFor(evhttp_request *Request,
+                        const std::string &Service) const;
+
+  event_base *Base;
+  const Options &Settings;
+  StartCounter &Starts;
+  bool Refusing = false;
+  // Declared before Http: closing a connection refers to its task.
+  std::list<Task> Tasks;
+  HttpHandle Http;
+};
+
+} // namespace sapphiremoor::standin
+
+#endif // SAPPHIREMOOR_TESTS_STANDIN_TASKSERVER_H
