Connect the replicated log to the configuration

Cause: one fixed VM decided changes, so its loss stopped them and nothing was durable. Ruled out: forming the first voters from names alone, because a wiped voter could then form a second set; they form only when all named voters say that they are new. Change: ReplicaService runs the replica over the links, the clock and the storage task; ConfigService takes changes to the leader and adopts what peers are ahead by; voters are added and removed through the leader. Before: a change lived in one VM's memory. Conclusion: accepted now means synced on a majority of the voters.

--- a/src/app/internal/servecommand.cpp
+++ b/src/app/internal/servecommand.cpp
@@ -26,6 +26,7 @@
 }
 
 ExitCode serve(const std::string &SettingsFile) {
+  configureLog({});
   const Result<Settings> Loaded = loadSettings(SettingsFile);
   if (isError(Loaded))
     return rejectSettings(errorOf(Loaded));
--- a/src/configuration/tests/settings_test.cpp
+++ b/src/configuration/tests/settings_test.cpp
@@ -60,7 +60,7 @@
   CHECK(Read.Name == "vm1");
   CHECK(Read.Http == Endpoint{"127.0.0.1", 8080});
   CHECK(Read.Peers ==
-        std::vector<PeerSettings>{{"vm2", "zilina", {"127.0.0.1", 9081}}});
+        std::vector<PeerSettings>{{"vm2", "zilina", {"127.0.0.1", 9081}, {}}});
   CHECK(Read.Voters == std::vector<std::string>{"vm1", "vm2"});
   CHECK(Read.DataFolder == "data");
   CHECK(Read.Limits.MaxTasks == 100);
--- a/src/daemon/configservice.h
+++ b/src/daemon/configservice.h
@@ -4,44 +4,75 @@
 #include "configuration/configstate.h"
 #include "daemon/membershipservice.h"
 #include "daemon/peerbus.h"
+#include "daemon/replicaservice.h"
 
 #include <functional>
 #include <map>
+#include <optional>
 
 namespace sapphiremoor {
 
-/// Keeps the configuration in force on this VM and passes changes to the VM
-/// that decides them.
+/// Keeps the configuration in force on this VM and takes changes to the leader
+/// of the voters.
 class ConfigService {
 public:
   using ChangeHandler = std::function<void(const Result<ChangeResult> &)>;
 
-  ConfigService(const Settings &Of, const VmId &Self, PeerBus &Bus,
-                MembershipService &Membership);
+  /// \p Replica is null on a VM without a disk.
+  ConfigService(EventLoop &Loop, const Settings &Of, PeerBus &Bus,
+                MembershipService &Membership, ReplicaService *Replica);
 
   /// \p Handler is called with each configuration that comes into force.
-  void start(std::function<void(const ServiceConfig &)> Handler);
+  Result<Done> start(std::function<void(const ServiceConfig &)> Handler);
 
-  /// Proposes a change; \p Handler is called once.
+  /// Proposes a change; \p Handler is called once. An error of kind Timeout
+  /// leaves the outcome open: a resend with the same request id tells it.
   void change(const ChangeFile &Change, ChangeHandler Handler);
 
-  uint64_t revision() const { return State.Revision; }
-  const ConfigState &state() const { return State; }
-  const ServiceConfig &config() const { return State.Cache.Merged; }
+  /// Adds or removes a voter; the result carries the committed log index.
+  void changeVoter(const std::string &Name, bool Remove, ChangeHandler Handler);
+
+  /// The files in force.
+  const ConfigState &state() const;
+  uint64_t revision() const { return state().Revision; }
+  const ServiceConfig &config() const { return state().Cache.Merged; }
+  /// The replica of this VM, or null.
+  const ReplicaState *replica() const;
 
 private:
-  ChangeResult decide(const ChangeFile &Change);
+  struct Proposal {
+    VmId To;
+    Instant Deadline;
+    ChangeHandler Handler;
+  };
+
+  void decideHere(const ChangeFile &Change, const ChangeHandler &Handler);
+  void changeVoterHere(const std::string &Name, bool Remove,
+                       const ChangeHandler &Handler);
+  void passOn(const std::function<PeerMessage(RequestNumber)> &Build,
+              ChangeHandler Handler);
+  std::optional<VmId> leaderOrVoter() const;
+  void applied(uint64_t Index, const std::string &Bytes);
   void adopt(const ConfigChunk &Chunk);
-  void inForce();
+  void noteInForce(uint64_t Before);
+  void expireProposals();
 
+  EventLoop &Loop;
   const Settings &Of;
-  VmId Self;
   PeerBus &Bus;
   MembershipService &Membership;
-  ConfigState State;
+  ReplicaService *Replica;
+  /// What the log of this VM's replica says.
+  ConfigState Logged;
+  /// What other VMs have told; may be ahead of the log of a voter that is cut
+  /// off from the leader.
+  ConfigState Adopted;
+  /// Results of the newest log entries, for the proposals that wait for them.
+  std::map<uint64_t, ChangeResult> Results;
   std::function<void(const ServiceConfig &)> InForce;
   RequestNumber LastRequest = 0;
-  std::map<RequestNumber, ChangeHandler> Proposals;
+  std::map<RequestNumber, Proposal> Proposals;
+  Timer Expiry;
 };
 
 } // namespace sapphiremoor
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -9,7 +9,9 @@
 #include "daemon/jobrouter.h"
 #include "daemon/membershipservice.h"
 #include "daemon/peerbus.h"
+#include "daemon/replicaservice.h"
 
+#include <memory>
 #include <string>
 
 namespace sapphiremoor {
@@ -28,7 +30,7 @@
   void drain();
 
 private:
-  void connect();
+  Result<Done> connect();
   void checkDrained();
 
   EventLoop &Loop;
@@ -41,6 +43,8 @@
   BackendRegistry Backends;
   JobExecutor Executor;
   JobRouter Router;
+  /// Absent on a VM without a disk.
+  std::unique_ptr<ReplicaService> Replica;
   ConfigService Config;
   HttpApi Api;
   Timer DrainCheck;
--- a/src/daemon/internal/configservice.cpp
+++ b/src/daemon/internal/configservice.cpp
@@ -1,74 +1,232 @@
 #include "daemon/configservice.h"
 
+#include "framework/codec/serial.h"
 #include "framework/eventlog/eventlog.h"
 
 namespace sapphiremoor {
 
-ConfigService::ConfigService(const Settings &Of, const VmId &Self, PeerBus &Bus,
-                             MembershipService &Membership)
-    : Of(Of), Self(Self), Bus(Bus), Membership(Membership) {}
+namespace {
 
-void ConfigService::start(std::function<void(const ServiceConfig &)> Handler) {
+/// An election takes up to 2 s, then a change is a few synced writes.
+constexpr Duration ProposalLimit = std::chrono::seconds(5);
+constexpr Duration ExpiryPeriod = std::chrono::milliseconds(500);
+constexpr std::size_t KeptResults = 1000;
+
+Error noVoter() {
+  return {ErrorKind::Unreachable, "no VM that decides changes can be reached",
+          "send the change again with the same request_id; check that a "
+          "majority of the voters runs and is connected"};
+}
+
+Error noReply() {
+  return {ErrorKind::Timeout, "the change was not confirmed in time",
+          "send it again with the same request_id to learn its result"};
+}
+
+} // namespace
+
+ConfigService::ConfigService(EventLoop &Loop, const Settings &Of, PeerBus &Bus,
+                             MembershipService &Membership,
+                             ReplicaService *Replica)
+    : Loop(Loop), Of(Of), Bus(Bus), Membership(Membership), Replica(Replica),
+      Expiry(Loop, [this] { expireProposals(); }) {}
+
+Result<Done>
+ConfigService::start(std::function<void(const ServiceConfig &)> Handler) {
   InForce = std::move(Handler);
   Membership.onHeartbeat([this](const Heartbeat &Message) {
-    if (Message.Revision > State.Revision)
-      Bus.send(Message.Sender, ConfigFetch{State.Revision});
+    if (Message.Revision > revision())
+      Bus.send(Message.Sender, ConfigFetch{Adopted.Revision});
   });
   Bus.on<ConfigFetch>([this](const VmId &From, const ConfigFetch &Message) {
-    Bus.send(From, changesSince(State, Message.Revision));
+    Bus.send(From, changesSince(state(), Message.Revision));
   });
   Bus.on<ConfigChunk>(
       [this](const VmId &, const ConfigChunk &Chunk) { adopt(Chunk); });
   Bus.on<ProposeChange>([this](const VmId &From, const ProposeChange &Message) {
-    Bus.send(From, ProposeReply{Message.Request, decide(Message.Change)});
+    decideHere(Message.Change, [this, From, Request = Message.Request](
+                                   const Result<ChangeResult> &Outcome) {
+      Bus.send(From, ProposeReply{Request, Outcome});
+    });
+  });
+  Bus.on<ProposeVoter>([this](const VmId &From, const ProposeVoter &Message) {
+    changeVoterHere(Message.Name, Message.Remove,
+                    [this, From, Request = Message.Request](
+                        const Result<ChangeResult> &Outcome) {
+                      Bus.send(From, ProposeReply{Request, Outcome});
+                    });
   });
   Bus.on<ProposeReply>([this](const VmId &, const ProposeReply &Message) {
     auto Found = Proposals.extract(Message.Request);
     if (!Found.empty())
-      Found.mapped()(Message.Result);
+      Found.mapped().Handler(Message.Result);
   });
+  Expiry.startPeriodic(ExpiryPeriod);
+  if (Replica == nullptr)
+    return Done{};
+  return Replica->start({[this](uint64_t Index, const std::string &Bytes) {
+                           applied(Index, Bytes);
+                         },
+                         [this](const std::string &Bytes) {
+                           const uint64_t Before = revision();
+                           Result<ConfigState> Decoded = decodeState(Bytes);
+                           // The first snapshot of a new cluster is empty.
+                           Logged = isError(Decoded)
+                                        ? ConfigState()
+                                        : takeValue(std::move(Decoded));
+                           noteInForce(Before);
+                         },
+                         [this] { return encodeState(Logged); }});
+}
+
+const ConfigState &ConfigService::state() const {
+  return Adopted.Revision > Logged.Revision ? Adopted : Logged;
+}
+
+const ReplicaState *ConfigService::replica() const {
+  return Replica == nullptr ? nullptr : Replica->state();
 }
 
 void ConfigService::change(const ChangeFile &Change, ChangeHandler Handler) {
-  if (Of.Voters.empty() || Of.Voters.front() == Self.Name) {
-    Handler(decide(Change));
+  if (Replica != nullptr && Replica->leader() == Of.Name)
+    decideHere(Change, Handler);
+  else
+    passOn(
+        [&](RequestNumber Request) {
+          return ProposeChange{Request, Change};
+        },
+        std::move(Handler));
+}
+
+void ConfigService::changeVoter(const std::string &Name, bool Remove,
+                                ChangeHandler Handler) {
+  if (Replica != nullptr && Replica->leader() == Of.Name)
+    changeVoterHere(Name, Remove, Handler);
+  else
+    passOn(
+        [&](RequestNumber Request) {
+          return ProposeVoter{Request, Name, Remove};
+        },
+        std::move(Handler));
+}
+
+void ConfigService::decideHere(const ChangeFile &Change,
+                               const ChangeHandler &Handler) {
+  if (Replica == nullptr) {
+    Handler(noVoter());
+    return;
+  }
+  // A VM without a disk may have chosen any voter; only the leader decides.
+  if (Replica->leader() && Replica->leader() != Of.Name) {
+    passOn(
+        [&](RequestNumber Request) {
+          return ProposeChange{Request, Change};
+        },
+        Handler);
     return;
   }
+  Replica->propose(encode(Change),
+                   [this, Handler](const Result<uint64_t> &Index) {
+                     if (isError(Index))
+                       Handler(errorOf(Index));
+                     else
+                       Handler(Results[valueOf(Index)]);
+                   });
+}
+
+void ConfigService::changeVoterHere(const std::string &Name, bool Remove,
+                                    const ChangeHandler &Handler) {
+  if (Replica == nullptr) {
+    Handler(noVoter());
+    return;
+  }
+  if (Replica->leader() && Replica->leader() != Of.Name) {
+    passOn(
+        [&](RequestNumber Request) {
+          return ProposeVoter{Request, Name, Remove};
+        },
+        Handler);
+    return;
+  }
+  Replica->changeVoter(Name, Remove,
+                       [this, Handler](const Result<uint64_t> &Index) {
+                         if (isError(Index)) {
+                           Handler(errorOf(Index));
+                           return;
+                         }
+                         ChangeResult Accepted;
+                         Accepted.Outcome = ChangeOutcome::Accepted;
+                         Accepted.Revision = revision();
+                         Handler(Accepted);
+                       });
+}
+
+std::optional<VmId> ConfigService::leaderOrVoter() const {
+  if (Replica != nullptr && Replica->leader())
+    return Bus.network().reachable(*Replica->leader());
+  for (const std::string &Name : Of.Voters)
+    if (const auto Linked = Bus.network().reachable(Name))
+      return Linked;
+  return std::nullopt;
+}
+
+void ConfigService::passOn(
+    const std::function<PeerMessage(RequestNumber)> &Build,
+    ChangeHandler Handler) {
   const RequestNumber Request = ++LastRequest;
-  const auto Leader = Bus.network().reachable(Of.Voters.front());
-  if (!Leader || !Bus.send(*Leader, ProposeChange{Request, Change})) {
-    Handler(Error{ErrorKind::Unreachable,
-                  "no VM that decides changes can be reached",
-                  "send the change again with the same request_id"});
+  const std::optional<VmId> To = leaderOrVoter();
+  if (!To || !Bus.send(*To, Build(Request))) {
+    Handler(noVoter());
     return;
   }
-  Proposals.emplace(Request, std::move(Handler));
+  Proposals.emplace(
+      Request, Proposal{*To, Loop.now() + ProposalLimit, std::move(Handler)});
 }
 
-ChangeResult ConfigService::decide(const ChangeFile &Change) {
-  const uint64_t Before = State.Revision;
-  const ChangeResult Result = applyChange(State, Change);
-  if (State.Revision != Before) {
-    logEvent(events::ChangeAccepted,
-             {{"file", Change.Name},
-              {"revision", std::to_string(State.Revision)},
-              {"operator", Change.Operator}});
-    inForce();
+void ConfigService::applied(uint64_t Index, const std::string &Bytes) {
+  const Result<ChangeFile> Change = decode<ChangeFile>(Bytes);
+  if (isError(Change)) {
+    logEvent(events::StorageFailed, {{"error", describe(errorOf(Change))}});
+    return;
   }
-  return Result;
+  const uint64_t Before = revision();
+  const ChangeResult Result = applyChange(Logged, valueOf(Change));
+  Results[Index] = Result;
+  if (Results.size() > KeptResults)
+    Results.erase(Results.begin());
+  if (Result.Outcome == ChangeOutcome::Accepted && revision() != Before)
+    logEvent(events::ChangeAccepted,
+             {{"file", valueOf(Change).Name},
+              {"revision", std::to_string(Result.Revision)},
+              {"operator", valueOf(Change).Operator}});
+  noteInForce(Before);
 }
 
 void ConfigService::adopt(const ConfigChunk &Chunk) {
-  const uint64_t Before = State.Revision;
-  const Result<Done> Adopted = adoptChunk(State, Chunk);
-  if (!isError(Adopted) && State.Revision != Before)
-    inForce();
+  const uint64_t Before = revision();
+  const Result<Done> Taken = adoptChunk(Adopted, Chunk);
+  if (!isError(Taken))
+    noteInForce(Before);
 }
 
-void ConfigService::inForce() {
-  logEvent(events::ChangeInForce,
-           {{"revision", std::to_string(State.Revision)}});
+void ConfigService::noteInForce(uint64_t Before) {
+  if (revision() == Before)
+    return;
+  logEvent(events::ChangeInForce, {{"revision", std::to_string(revision())}});
   InForce(config());
 }
 
+void ConfigService::expireProposals() {
+  const Instant Now = Loop.now();
+  std::vector<ChangeHandler> Expired;
+  std::erase_if(Proposals, [&](auto &Entry) {
+    if (Entry.second.Deadline > Now)
+      return false;
+    Expired.push_back(std::move(Entry.second.Handler));
+    return true;
+  });
+  for (const ChangeHandler &Handler : Expired)
+    Handler(noReply());
+}
+
 } // namespace sapphiremoor
--- a/src/daemon/internal/daemon.cpp
+++ b/src/daemon/internal/daemon.cpp
@@ -25,7 +25,9 @@
                {[this](const std::string &Id) { Backends.contacted(Id); },
                 [this](const std::string &Id) { Backends.unreachable(Id); }}),
       Router(Loop, Self, Bus, Membership, Claims, Executor, ClusterKey),
-      Config(Of, Self, Bus, Membership),
+      Replica(Of.DataFolder ? std::make_unique<ReplicaService>(Loop, Of, Bus)
+                            : nullptr),
+      Config(Loop, Of, Bus, Membership, Replica.get()),
       Api(Loop, Of, std::move(Tokens), ClusterKey,
           {Router,
            Backends,
@@ -35,7 +37,7 @@
            {Membership, Config, Backends.table(), Executor, Router}}),
       DrainCheck(Loop, [this] { checkDrained(); }) {}
 
-void Daemon::connect() {
+Result<Done> Daemon::connect() {
   Membership.start([this] {
     MembershipService::Report Report{Config.revision(), {}};
     if (Membership.dispatching())
@@ -45,12 +47,14 @@
   Router.start();
   Backends.start(
       [this](const std::string &Id) { Executor.backendChanged(Id); });
-  Config.start(
+  return Config.start(
       [this](const ServiceConfig &InForce) { Executor.configure(InForce); });
 }
 
 Result<Done> Daemon::start() {
-  connect();
+  const Result<Done> Connected = connect();
+  if (isError(Connected))
+    return Connected;
   const Result<Done> Linked = Bus.start();
   if (isError(Linked))
     return Linked;
--- a/src/daemon/internal/httpapi.cpp
+++ b/src/daemon/internal/httpapi.cpp
@@ -222,9 +222,13 @@
       });
 }
 
-void HttpApi::perform(const Call &From, const ChangeVoterCommand &) {
-  reject(From.Answer, {ErrorKind::NotFound, "voters cannot be changed yet",
-                       "use a later version"});
+void HttpApi::perform(const Call &From, const ChangeVoterCommand &What) {
+  Parts.Config.changeVoter(
+      What.Name, What.Remove,
+      [Answer = From.Answer](const Result<ChangeResult> &Outcome) {
+        Answer.respond(isError(Outcome) ? formatError(errorOf(Outcome))
+                                        : changeResponse(valueOf(Outcome)));
+      });
 }
 
 void HttpApi::perform(const Call &From, const AnnounceCommand &What) {
--- a/src/daemon/internal/statusreport.cpp
+++ b/src/daemon/internal/statusreport.cpp
@@ -1,5 +1,7 @@
 #include "daemon/statusreport.h"
 
+#include "replication/replica.h"
+
 #include <nlohmann/json.hpp>
 
 namespace sapphiremoor {
@@ -45,6 +47,22 @@
   return Rows;
 }
 
+/// The replica's role, leader and voters, or null on a VM without a disk.
+Json replicaRow(const ReplicaState *Replica) {
+  if (Replica == nullptr)
+    return nullptr;
+  Json Row;
+  Row["role"] = roleName(Replica->Role);
+  Row["term"] = Replica->Hard.Term;
+  Row["leader"] = Replica->Leader ? Json(Replica->Leader->Name) : Json();
+  Row["last_index"] = lastIndex(*Replica);
+  Row["committed"] = Replica->Hard.Commit;
+  Row["voters"] = Json::array();
+  for (const Voter &Each : Replica->Voters)
+    Row["voters"].push_back(Each.Name);
+  return Row;
+}
+
 } // namespace
 
 std::string statusJson(const StatusSources &Of, Instant Now) {
@@ -56,6 +74,7 @@
   Report["open_requests"] = Of.Router.open();
   Report["open_jobs"] = Of.Executor.openJobs();
   Report["queued_tasks"] = Of.Executor.placement().Queued;
+  Report["replica"] = replicaRow(Of.Config.replica());
   Report["vms"] = vmRows(Of, Now);
   Report["backends"] = backendRows(Of.Backends);
   return Report.dump() + "\n";
--- /dev/null
+++ b/src/daemon/replicaservice.h
@@ -0,0 +1,78 @@
+#ifndef SAPPHIREMOOR_DAEMON_REPLICASERVICE_H
+#define SAPPHIREMOOR_DAEMON_REPLICASERVICE_H
+
+#include "daemon/formation.h"
+#include "daemon/peerbus.h"
+#include "framework/net/timer.h"
+#include "framework/storage/storagetask.h"
+#include "replication/durability.h"
+#include "replication/replica.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace sapphiremoor {
+
+/// Runs the replica of a VM with a disk: connects the replication decisions to
+/// the links, the clock and the storage task.
+class ReplicaService {
+public:
+  struct Callbacks {
+    std::function<void(uint64_t Index, const std::string &Bytes)> Apply;
+    std::function<void(const std::string &Bytes)> Install;
+    /// Returns the state to put into a snapshot.
+    std::function<std::string()> Snapshot;
+  };
+  using ResultHandler = std::function<void(const Result<uint64_t> &)>;
+
+  ReplicaService(EventLoop &Loop, const Settings &Of, PeerBus &Bus);
+
+  /// Opens the data folder. Errors: StorageFailure, CorruptData.
+  Result<Done> start(Callbacks Calls);
+
+  /// Proposes \p Bytes; \p Handler gets the committed index or the error.
+  void propose(const std::string &Bytes, ResultHandler Handler);
+  /// Adds or removes a voter, one at a time.
+  void changeVoter(const std::string &Name, bool Remove, ResultHandler Handler);
+
+  /// The name of the leader, if one is known.
+  std::optional<std::string> leader() const;
+  /// The replica, once its VM has joined or formed a set of voters.
+  const ReplicaState *state() const;
+
+private:
+  Result<Done> open(const std::vector<Voter> &FirstVoters);
+  void handle(const ReplicaEvent &Event);
+  void run(const std::vector<ReplicaEffect> &Effects);
+  void run(const ReplicaEffect &Effect);
+  void finishProposal(const ProposeResult &Result);
+  void receivedStatus(const VmId &From, const VoterStatus &Status);
+  void tryForm();
+  VoterStatus status() const;
+  std::optional<Voter> findVoter(const std::string &Name, bool Remove) const;
+
+  EventLoop &Loop;
+  const Settings &Of;
+  PeerBus &Bus;
+  Callbacks Calls;
+  Random Rng;
+  RecoveredFolder Folder;
+  FormationState Forming;
+  std::optional<ReplicaState> Replica;
+  std::unique_ptr<RecordLog> OpenedLog;
+  std::unique_ptr<StorageTask> Storage;
+  /// Expires with this object, so that replies posted by the storage thread
+  /// during its destruction are dropped.
+  std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
+  uint64_t LastProposal = 0;
+  std::map<uint64_t, ResultHandler> Proposals;
+  uint64_t AppliedIndex = 0;
+  Timer TickTimer;
+};
+
+} // namespace sapphiremoor
+
+#endif // SAPPHIREMOOR_DAEMON_REPLICASERVICE_H
--- a/src/daemon/types/peermessage.h
+++ b/src/daemon/types/peermessage.h
@@ -12,6 +12,7 @@
 #include "leases/types/announcement.h"
 #include "leases/types/backendchange.h"
 #include "membership/types/heartbeat.h"
+#include "replication/types/replicationmessage.h"
 
 #include <cstdint>
 #include <optional>
@@ -120,6 +121,30 @@
   template <typename Archive> void serialize(Archive &Ar) { Ar(Revision); }
 };
 
+/// Says whether a VM with a disk belongs to a formed set of voters. The first
+/// voters form only when all of them have said that they are new.
+struct VoterStatus {
+  Voter Self;
+  bool Formed = false;
+  /// The voters that a formed VM knows.
+  std::vector<Voter> Voters;
+
+  template <typename Archive> void serialize(Archive &Ar) {
+    Ar(Self, Formed, Voters);
+  }
+};
+
+/// Asks the leader to propose a change of the voters.
+struct ProposeVoter {
+  RequestNumber Request = 0;
+  std::string Name;
+  bool Remove = false;
+
+  template <typename Archive> void serialize(Archive &Ar) {
+    Ar(Request, Name, Remove);
+  }
+};
+
 /// Asks the leader to propose a change.
 struct ProposeChange {
   RequestNumber Request = 0;
@@ -144,7 +169,8 @@
     std::variant<Heartbeat, ForwardJob, RunRequest, AttachJob, JobReply,
                  PrefixRequest, PrefixReply, ClaimMessage, RelayAnnouncement,
                  BackendOrder, BackendNews, ConfigFetch, ConfigChunk,
-                 ProposeChange, ProposeReply>;
+                 ProposeChange, ProposeVoter, ProposeReply, VoterStatus,
+                 ReplicationMessage>;
 
 } // namespace sapphiremoor
 
