--- a/src/app/internal/configcommands.cpp
+++ b/src/app/internal/configcommands.cpp
@@ -8,9 +8,11 @@
 #include <CLI/CLI.hpp>
 #include <nlohmann/json.hpp>
 
+#include <chrono>
 #include <filesystem>
 #include <iostream>
 #include <optional>
+#include <thread>
 
 namespace sapphiremoor {
 
@@ -71,8 +73,39 @@
   return Body;
 }
 
-/// Sends one change; a resend after a lost answer carries the same request id,
-/// so that it cannot be taken for a second change.
+/// Time during which a change is sent again while no leader confirms it; an
+/// election takes up to 2 s.
+constexpr std::chrono::seconds ResendLimit{10};
+constexpr std::chrono::milliseconds ResendDelay{300};
+
+/// Returns true if \p Answer leaves open whether the change will be decided.
+bool isUndecided(const HttpCallResult &Answer) {
+  const Json Body = Json::parse(Answer.Body, nullptr, false);
+  if (!Body.is_object() || !Body.contains("error"))
+    return false;
+  const std::string Kind = Body["error"].value("kind", "");
+  return Kind == errorKindName(ErrorKind::NotLeader) ||
+         Kind == errorKindName(ErrorKind::Unreachable) ||
+         Kind == errorKindName(ErrorKind::Timeout);
+}
+
+/// Sends a change until a leader decides it. A resend carries the same request
+/// id, so that it cannot be taken for a second change.
+Result<HttpCallResult> callUntilDecided(const Client &Sender,
+                                        const HttpCallRequest &Request) {
+  const auto End = std::chrono::steady_clock::now() + ResendLimit;
+  for (;;) {
+    Result<HttpCallResult> Answer = Sender.call(Request);
+    const bool Again = isError(Answer)
+                           ? errorOf(Answer).Kind == ErrorKind::Unreachable
+                           : isUndecided(valueOf(Answer));
+    if (!Again || std::chrono::steady_clock::now() > End)
+      return Answer;
+    std::this_thread::sleep_for(ResendDelay);
+  }
+}
+
+/// Sends one change and returns the revision that it got.
 Result<uint64_t> sendChange(const Client &Sender, const std::string &Path,
                             const ChangeOptions &Options, uint64_t Expected) {
   const std::string Name = std::filesystem::path(Path).filename().string();
@@ -87,7 +120,7 @@
       return errorOf(Text);
     Request.Body = takeValue(std::move(Text));
   }
-  const Result<HttpCallResult> Answer = Sender.call(Request);
+  const Result<HttpCallResult> Answer = callUntilDecided(Sender, Request);
   if (isError(Answer))
     return errorOf(Answer);
   const Json Body = Json::parse(valueOf(Answer).Body, nullptr, false);
