--- a/src/placement/internal/backends.cpp
+++ b/src/placement/internal/backends.cpp
@@ -47,9 +47,11 @@
   ServiceRecord &Service = State.Services[Carried.Service];
   const bool Good = Carried.Standing == Health::Good;
   const uint32_t Demoted = Good ? 0 : 1;
+  const uint32_t Ejected = Good || Carried.Standing == Health::Reserve ? 0 : 1;
   const uint64_t Slots = Good ? Backend.Spec.Slots : 0;
   Service.Carriers = Add ? Service.Carriers + 1 : Service.Carriers - 1;
   Service.Demoted = Add ? Service.Demoted + Demoted : Service.Demoted - Demoted;
+  Service.Ejected = Add ? Service.Ejected + Ejected : Service.Ejected - Ejected;
   Service.Slots = Add ? Service.Slots + Slots : Service.Slots - Slots;
 }
 
@@ -164,6 +166,11 @@
   relist(State, Backend, Carried);
 }
 
+bool mayEject(const PlacementState &State, uint32_t Service) {
+  const ServiceRecord &Record = State.Services[Service];
+  return Record.Ejected + 1 <= State.Limits.EjectedShare * Record.Carriers;
+}
+
 bool mayDemote(const PlacementState &State, uint32_t Service) {
   const ServiceRecord &Record = State.Services[Service];
   return Record.Demoted + 1 <= State.Limits.EjectedShare * Record.Carriers;
--- a/src/placement/internal/backends.h
+++ b/src/placement/internal/backends.h
@@ -23,7 +23,9 @@
 void setStanding(PlacementState &State, BackendRecord &Backend,
                  Carriage &Carried, Health Standing);
 
-/// Returns true if the cap leaves room to demote one more carrier.
+/// Returns true if the cap leaves room to eject one more carrier, or to use
+/// one more last because it is slow.
+bool mayEject(const PlacementState &State, uint32_t Service);
 bool mayDemote(const PlacementState &State, uint32_t Service);
 
 void restUntil(PlacementState &State, uint32_t Backend, Carriage &Carried,
--- a/src/placement/internal/finishes.cpp
+++ b/src/placement/internal/finishes.cpp
@@ -19,9 +19,8 @@
   const double Used = Outcome == TaskOutcome::NotStarted
                           ? 0.0
                           : static_cast<double>(RunTime.count()) * SecondsPerUs;
-  const double Share = State.Teams[Job.Team].Spec.Share;
-  moveVirtualTime(State, Job.Team,
-                  (Used - static_cast<double>(Ended.Charged)) / Share);
+  chargeTeam(State, Job.Team, Used - static_cast<double>(Ended.Charged),
+             Job.EnqueuedAt);
 }
 
 bool mayRetry(const PlacementState &State, const JobRecord &Job,
--- a/src/placement/internal/health.cpp
+++ b/src/placement/internal/health.cpp
@@ -80,7 +80,7 @@
   if (!Listed || !looksFailing(State, Carried) ||
       Service.FailureShare > BadService)
     return;
-  if (Carried.Standing == Health::Reserve || mayDemote(State, Carried.Service))
+  if (mayEject(State, Carried.Service))
     eject(State, Backend, Carried, Now);
   else
     setStanding(State, State.Backends[Backend], Carried, Health::Reserve);
--- a/src/placement/internal/queues.cpp
+++ b/src/placement/internal/queues.cpp
@@ -10,6 +10,11 @@
 namespace {
 
 constexpr double SecondsPerUs = 1e-6;
+// Teams within their quota whose ranks differ by less (in seconds) are served
+// in the order of arrival. It saves moving the queue at each start.
+constexpr double RankStep = 0.02;
+// Added to the rank of teams beyond their quota; above all other ranks.
+constexpr double BeyondQuota = 1e12;
 
 bool isActive(const TeamRecord &Team) { return Team.Queued + Team.Running > 0; }
 
@@ -32,13 +37,18 @@
          static_cast<double>(State.Slots) / std::max(State.ShareSum, 1e-9);
 }
 
-/// Returns the first part of the order of a team's queues.
-double rankOf(const PlacementState &State, const TeamRecord &Team) {
+double seconds(Instant At) {
+  return static_cast<double>(At.time_since_epoch().count()) * SecondsPerUs;
+}
+
+/// Returns the first part of the order of a queue: less is served first.
+double rankOf(const PlacementState &State, const TeamRecord &Team,
+              const JobRecord &First) {
   if (Team.WithinQuota)
-    return std::numeric_limits<double>::lowest();
+    return std::floor(std::max(seconds(First.EnqueuedAt), Team.BusyUntil) /
+                      RankStep);
   const double Quantum = virtualSpan(State, State.Limits.FairQuantum);
-  return Quantum > 0 ? std::floor(Team.VirtualTime / Quantum)
-                     : Team.VirtualTime;
+  return BeyondQuota + std::floor(Team.VirtualTime / std::max(Quantum, 1e-9));
 }
 
 void refreshTeam(PlacementState &State, uint32_t Team) {
@@ -65,10 +75,8 @@
 
 /// Limits how much unused share a team that starts to queue may catch up.
 void limitCredit(PlacementState &State, uint32_t Team) {
-  const double Credit = static_cast<double>(State.Limits.BurstCredit.count()) *
-                        SecondsPerUs * static_cast<double>(State.Slots) /
-                        std::max(State.ShareSum, 1e-9);
-  const double Floor = State.VirtualTime - Credit;
+  const double Floor =
+      State.VirtualTime - virtualSpan(State, State.Limits.BurstCredit);
   double &VirtualTime = State.Teams[Team].VirtualTime;
   if (VirtualTime >= Floor)
     return;
@@ -150,8 +158,9 @@
   std::optional<WaitingKey> Wanted;
   if (Queue.Live > 0) {
     trimFront(State, Queue);
-    Wanted = WaitingKey{rankOf(State, State.Teams[Team]),
-                        State.Jobs[Queue.Entries.front().Job].Sequence, Team};
+    const JobRecord &First = State.Jobs[Queue.Entries.front().Job];
+    Wanted = WaitingKey{rankOf(State, State.Teams[Team], First), First.Sequence,
+                        Team};
   }
   if (Wanted == Queue.Waiting)
     return;
@@ -183,10 +192,17 @@
   changeTeam(State, Team, 0, Change);
 }
 
-void moveVirtualTime(PlacementState &State, uint32_t TeamIndex, double Charge) {
+void chargeTeam(PlacementState &State, uint32_t TeamIndex, double SlotSeconds,
+                Instant EnqueuedAt) {
   TeamRecord &Team = State.Teams[TeamIndex];
+  const double Charge = SlotSeconds / Team.Spec.Share;
   Team.VirtualTime += Charge;
   chargeQuota(State, TeamIndex, Charge);
+  const double Busy = State.Limits.BusyFactor * SlotSeconds /
+                      static_cast<double>(std::max<uint64_t>(State.Slots, 1));
+  const double Most = seconds(State.QuotaClockAt + State.Limits.BusyAhead);
+  Team.BusyUntil =
+      std::min(std::max(Team.BusyUntil, seconds(EnqueuedAt)) + Busy, Most);
   refreshTeam(State, TeamIndex);
 }
 
--- a/src/placement/internal/queues.h
+++ b/src/placement/internal/queues.h
@@ -31,8 +31,9 @@
 /// Moves the quota clock and puts teams back within their quota.
 void advanceQuotaClock(PlacementState &State, Instant Now);
 
-/// Adds \p Charge (slot seconds over share) to the virtual time of a team.
-void moveVirtualTime(PlacementState &State, uint32_t Team, double Charge);
+/// Charges a team for \p SlotSeconds of a job queued at \p EnqueuedAt.
+void chargeTeam(PlacementState &State, uint32_t Team, double SlotSeconds,
+                Instant EnqueuedAt);
 
 /// Changes the number of queued tasks of a job's queue and all its sums.
 void addQueued(PlacementState &State, JobRecord &Job, uint32_t Count);
--- a/src/placement/internal/starts.cpp
+++ b/src/placement/internal/starts.cpp
@@ -42,7 +42,7 @@
   const TeamRecord &Team = State.Teams[Job.Team];
   State.VirtualTime = std::max(State.VirtualTime, Team.VirtualTime);
   addRunning(State, Job.Team, 1);
-  moveVirtualTime(State, Job.Team, Charge / Team.Spec.Share);
+  chargeTeam(State, Job.Team, Charge, Job.EnqueuedAt);
   return {Job.Number, TaskIndex, State.Backends[Backend].Spec.Id, Hedge};
 }
 
--- a/src/placement/types/placementlimits.h
+++ b/src/placement/types/placementlimits.h
@@ -34,8 +34,14 @@
   /// A team within its quota is served before all others. Its unused quota
   /// counts for at most QuotaBurst, its overuse for at most QuotaDebt, both as
   /// time of the quota. A job of 1,600 tasks takes about 15 s of a tenth.
-  Duration QuotaBurst{30'000'000};
+  Duration QuotaBurst{60'000'000};
   Duration QuotaDebt{1'000'000};
+  /// Teams within their quota are served in the order of arrival, as long as
+  /// none keeps more than 1 / BusyFactor of all slots busy. A higher factor
+  /// shields small jobs from large ones, a lower one favours the large.
+  double BusyFactor = 1.5;
+  /// A team's use beyond that part is remembered for at most this time.
+  Duration BusyAhead{5'000'000};
   /// A team that used less than its share may catch up this much time of it.
   Duration BurstCredit{1'000'000};
   /// Teams beyond their quota whose use differs by less than this much time of
--- a/src/placement/types/servicerecord.h
+++ b/src/placement/types/servicerecord.h
@@ -17,8 +17,8 @@
 
 namespace sapphiremoor {
 
-/// Order of the queues of a service: teams within their quota first, then by
-/// the quantum of the team's virtual time, then by the age of the first job.
+/// Order of the queues of a service: by the rank of the team, then by the age
+/// of the first job.
 using WaitingKey = std::tuple<double, uint64_t, uint32_t>;
 
 /// Order of the services that can start a task now: that of their first queue.
@@ -55,6 +55,8 @@
   /// Backend servers that carry it, and those of them not in good standing.
   uint32_t Carriers = 0;
   uint32_t Demoted = 0;
+  /// Those of them that take at most a probe.
+  uint32_t Ejected = 0;
   /// Slots of the carriers in good standing, and the listed free slots.
   uint64_t Slots = 0;
   uint64_t FreeSlots = 0;
@@ -69,6 +71,9 @@
   /// less than the clock. Its distance is limited in both directions.
   double QuotaUsed = std::numeric_limits<double>::lowest();
   bool WithinQuota = true;
+  /// Instant, in seconds, up to which the team's use would have kept its
+  /// part of all slots busy. Orders the teams within their quota.
+  double BusyUntil = 0;
   uint32_t Queued = 0;
   uint32_t Running = 0;
   /// Services with queued tasks of this team.
