Measure single requests, stragglers and other seeds in the decisions benchmark

Cause: half of the jobs are single requests but they are 0.4 % of the tasks, so that hedges did not show in the figures; the baselines were compared without any fault. Change: rows for a trace of single requests, a column with 3 stragglers for all policies, seeds from the command line.

--- a/bench/decisions/baselines.cpp
+++ b/bench/decisions/baselines.cpp
@@ -73,7 +73,8 @@
   return Outcome;
 }
 
-RunOutcome runBaseline(const Trace &Jobs, Choice Kind, uint64_t Seed) {
+RunOutcome runBaseline(const Trace &Jobs, Choice Kind, uint64_t Seed,
+                       uint32_t Stragglers, Duration FaultsAt) {
   Random Generator(Seed);
   std::vector<SlotPool> Workers(WorkerCount, SlotPool(SlotsPerWorker));
   std::array<VmView, VmCount> Views;
@@ -88,7 +89,9 @@
     Duration Last{0};
     for (const Duration RunTime : Job.RunTimes) {
       const uint32_t Worker = chooseWorker(View, Kind, Generator);
-      const Duration Answer = Workers[Worker].serve(AtVm + Hop, RunTime) + Hop;
+      const bool Slow = Worker < Stragglers && AtVm >= FaultsAt;
+      const Duration Taken = Slow ? RunTime * StragglerSlowness : RunTime;
+      const Duration Answer = Workers[Worker].serve(AtVm + Hop, Taken) + Hop;
       ++View.Outstanding[Worker];
       View.Answers.emplace(Answer, Worker);
       Last = std::max(Last, Answer);
--- a/bench/decisions/baselines.h
+++ b/bench/decisions/baselines.h
@@ -15,7 +15,10 @@
 enum class Choice : uint8_t { Random, RoundRobin, LeastOutstanding };
 
 /// Three VMs that share no knowledge, with message delays.
-RunOutcome runBaseline(const Trace &Jobs, Choice Kind, uint64_t Seed);
+/// The first \p Stragglers workers become 10 times slower at \p FaultsAt.
+RunOutcome runBaseline(const Trace &Jobs, Choice Kind, uint64_t Seed,
+                       uint32_t Stragglers = 0,
+                       Duration FaultsAt = Duration::max());
 
 } // namespace sapphiremoor::bench
 
--- a/bench/decisions/main.cpp
+++ b/bench/decisions/main.cpp
@@ -7,6 +7,7 @@
 
 #include <chrono>
 #include <cstdio>
+#include <cstdlib>
 #include <string>
 
 namespace {
@@ -44,10 +45,10 @@
   std::puts("|---|---|---|---|");
 }
 
-void printResponses() {
+void printResponses(const SeedList &Seeds) {
   std::puts("\n| response / ideal | 70 % mean | p99 | 90 % mean | p99 | "
-            "98 % mean | p99 |");
-  std::puts("|---|---|---|---|---|---|---|");
+            "98 % mean | p99 | 70 %, 3 stragglers, mean | p99 |");
+  std::puts("|---|---|---|---|---|---|---|---|---|");
   const std::pair<Policy, const char *> Rows[] = {
       {Policy::Random, "random, 3 VMs"},
       {Policy::RoundRobin, "round robin, 3 VMs"},
@@ -56,29 +57,30 @@
   for (const auto &[Kind, Name] : Rows) {
     std::printf("| %s |", Name);
     for (const double Load : {0.7, 0.9, 0.98}) {
-      const ResponseRatio Ratio = responseAtLoad(Kind, Load);
+      const ResponseRatio Ratio = responseAtLoad(Seeds, Kind, Load);
       std::printf(" %.3f | %.3f |", Ratio.Mean, Ratio.P99);
     }
-    std::puts("");
+    const ResponseRatio Slow = responseWithStragglers(Seeds, Kind);
+    std::printf(" %.3f | %.3f |\n", Slow.Mean, Slow.P99);
   }
 }
 
-void printTargets() {
+void printTargets(const SeedList &Seeds) {
   tableHead();
-  const ResponseRatio At70 = responseAtLoad(Policy::Placement, 0.7);
-  const ResponseRatio At90 = responseAtLoad(Policy::Placement, 0.9);
-  const ResponseRatio At98 = responseAtLoad(Policy::Placement, 0.98);
+  const ResponseRatio At70 = responseAtLoad(Seeds, Policy::Placement, 0.7);
+  const ResponseRatio At90 = responseAtLoad(Seeds, Policy::Placement, 0.9);
+  const ResponseRatio At98 = responseAtLoad(Seeds, Policy::Placement, 0.98);
   rowAtMost("mean response / ideal at 70 %", 1.03, At70.Mean);
   rowAtMost("mean response / ideal at 90 %", 1.10, At90.Mean);
   rowAtMost("mean response / ideal at 98 %", 1.25, At98.Mean);
   rowAtMost("p99 response / ideal p99 at 90 %", 1.20, At90.P99);
 }
 
-void printWaste() {
-  const WasteFigures Fast = wasteHealthy(ServiceWeight::ResponseTime);
-  const WasteFigures Thrifty = wasteHealthy(ServiceWeight::Messages);
-  const WasteFigures FastFaulty = wasteFaulty(ServiceWeight::ResponseTime);
-  const WasteFigures ThriftyFaulty = wasteFaulty(ServiceWeight::Messages);
+void printWaste(const SeedList &Seeds) {
+  const WasteFigures Fast = wasteHealthy(Seeds, ServiceWeight::ResponseTime);
+  const WasteFigures Thrifty = wasteHealthy(Seeds, ServiceWeight::Messages);
+  const WasteFigures FastFaulty = wasteFaulty(Seeds, ServiceWeight::ResponseTime);
+  const WasteFigures ThriftyFaulty = wasteFaulty(Seeds, ServiceWeight::Messages);
   rowAtMost("wasted messages per task, healthy, weight response time", 0.10,
             Fast.PerTask, 4);
   rowAtMost("wasted messages per task, healthy, weight messages", 0.02,
@@ -91,20 +93,33 @@
             FastFaulty.MeanRatio);
   rowAtMost("mean response / ideal of survivors, weight messages", 1.30,
             ThriftyFaulty.MeanRatio);
+  const WasteFigures Requests = wasteOfRequests(Seeds, false);
+  const WasteFigures RequestsFaulty = wasteOfRequests(Seeds, true);
+  rowAtMost("wasted messages per task, healthy, single requests only", 0.10,
+            Requests.PerTask, 4);
+  rowAtMost("wasted messages per task, faulty, single requests only", 0.25,
+            RequestsFaulty.PerTask, 4);
+  rowAtMost("mean response / ideal of survivors, single requests only", 1.30,
+            RequestsFaulty.MeanRatio);
   const uint64_t Repeated = Fast.RepeatedStarts + Thrifty.RepeatedStarts +
                             FastFaulty.RepeatedStarts +
                             ThriftyFaulty.RepeatedStarts;
   row("tasks of submissions that ran twice", "0", std::to_string(Repeated),
       Repeated == 0);
-  std::printf("| of these: hedges healthy, hedges faulty, refusals faulty | | "
-              "%.4f, %.4f, %.4f | |\n",
-              Fast.Hedges, FastFaulty.Hedges, FastFaulty.Refusals);
-  std::printf("| jobs completed, faulty: each weight | | %.4f, %.4f | |\n",
-              FastFaulty.Completed, ThriftyFaulty.Completed);
+  std::printf("| wasted by hedges, single requests, healthy and faulty | | "
+              "%.4f, %.4f | |\n",
+              Requests.Hedges, RequestsFaulty.Hedges);
+  std::printf("| mean response / ideal, single requests, healthy | | %.3f | "
+              "|\n",
+              Requests.MeanRatio);
+  std::printf("| jobs completed, faulty: each weight, single requests | | "
+              "%.4f, %.4f, %.5f | |\n",
+              FastFaulty.Completed, ThriftyFaulty.Completed,
+              RequestsFaulty.Completed);
 }
 
-void printOverload() {
-  const OverloadFigures Figures = overload();
+void printOverload(const SeedList &Seeds) {
+  const OverloadFigures Figures = overload(Seeds);
   rowAtLeast("goodput / capacity at twice the capacity", 0.95, Figures.Goodput);
   rowAtLeast("accepted within deadline at twice the capacity", 0.99,
              Figures.InTime);
@@ -116,8 +131,8 @@
               Figures.Refused);
 }
 
-void printFairness(const char *Others, double Load) {
-  const FairnessFigures Figures = fairness(Load);
+void printFairness(const SeedList &Seeds, const char *Others, double Load) {
+  const FairnessFigures Figures = fairness(Seeds, Load);
   rowAtMost(std::string("p99 of a team, another at 10 times its quota, ") +
                 Others,
             1.20, Figures.P99FloodedMs / Figures.P99AloneMs);
@@ -138,19 +153,25 @@
 
 } // namespace
 
-int main() {
+/// Usage: bench_decisions [SEED...]
+int main(int ArgCount, char **Args) {
   const auto Begin = std::chrono::steady_clock::now();
+  SeedList Seeds;
+  for (int Index = 1; Index < ArgCount; ++Index)
+    Seeds.push_back(std::strtoull(Args[Index], nullptr, 10));
+  if (Seeds.empty())
+    Seeds = {11, 22, 33};
   std::printf("Seeds:");
   for (const uint64_t Seed : Seeds)
     std::printf(" %llu", static_cast<unsigned long long>(Seed));
   std::puts("\n");
-  printTargets();
-  printWaste();
-  printOverload();
-  printFairness("other teams silent", 0.0);
-  printFairness("other teams at half their quota", 0.5);
+  printTargets(Seeds);
+  printWaste(Seeds);
+  printOverload(Seeds);
+  printFairness(Seeds, "other teams silent", 0.0);
+  printFairness(Seeds, "other teams at half their quota", 0.5);
   printCosts();
-  printResponses();
+  printResponses(Seeds);
   std::printf(
       "\nRun time %.1f s\n",
       std::chrono::duration<double>(std::chrono::steady_clock::now() - Begin)
--- a/bench/decisions/scenarios.cpp
+++ b/bench/decisions/scenarios.cpp
@@ -16,6 +16,8 @@
 constexpr uint32_t KilledCount = 3;
 constexpr uint32_t FailAllCount = 2;
 constexpr uint32_t StragglerCount = 3;
+constexpr uint32_t HealthySlots =
+    SlotCount - (KilledCount + FailAllCount + StragglerCount) * SlotsPerWorker;
 
 double meanOf(const std::vector<Duration> &Values) {
   const Duration Sum =
@@ -45,18 +47,37 @@
   }
 };
 
-RunOutcome runPolicy(const Trace &Jobs, Policy Kind, uint64_t Seed) {
+RunOutcome runPolicy(const Trace &Jobs, Policy Kind, uint64_t Seed,
+                     uint32_t Stragglers) {
   switch (Kind) {
   case Policy::Random:
-    return runBaseline(Jobs, Choice::Random, Seed);
+    return runBaseline(Jobs, Choice::Random, Seed, Stragglers, FaultsAt);
   case Policy::RoundRobin:
-    return runBaseline(Jobs, Choice::RoundRobin, Seed);
+    return runBaseline(Jobs, Choice::RoundRobin, Seed, Stragglers, FaultsAt);
   case Policy::LeastOutstanding:
-    return runBaseline(Jobs, Choice::LeastOutstanding, Seed);
+    return runBaseline(Jobs, Choice::LeastOutstanding, Seed, Stragglers,
+                       FaultsAt);
   case Policy::Placement:
     break;
   }
-  return Simulation(Jobs, {.TeamCount = TeamCount}).run();
+  SimulationSetup Setup{.TeamCount = TeamCount};
+  Setup.FaultsAt = FaultsAt;
+  Setup.Stragglers = Stragglers;
+  return Simulation(Jobs, Setup).run();
+}
+
+ResponseRatio compare(const SeedList &Seeds, Policy Kind, double Load,
+                      uint32_t Stragglers, Duration From) {
+  const uint32_t IdealSlots = SlotCount - Stragglers * SlotsPerWorker;
+  Pair Responses;
+  for (const uint64_t Seed : Seeds) {
+    const Trace Jobs =
+        generateTrace(equalStreams(TeamCount, Load), Length, Seed);
+    Responses.add(Jobs, runPolicy(Jobs, Kind, Seed, Stragglers),
+                  runIdeal(Jobs, IdealSlots), From);
+  }
+  return {meanOf(Responses.Measured) / meanOf(Responses.Ideal),
+          percentile99(Responses.Measured) / percentile99(Responses.Ideal)};
 }
 
 /// Sums over the runs of all seeds.
@@ -81,13 +102,22 @@
   }
 };
 
-WasteFigures measureWaste(const SimulationSetup &Setup, double Load,
+SimulationSetup faultySetup(ServiceWeight Weight) {
+  return {.Weight = Weight,
+          .TeamCount = TeamCount,
+          .FaultsAt = FaultsAt,
+          .Killed = KilledCount,
+          .FailAll = FailAllCount,
+          .Stragglers = StragglerCount};
+}
+
+WasteFigures measureWaste(const SeedList &Seeds, const SimulationSetup &Setup,
+                          const std::vector<Stream> &Streams,
                           uint32_t IdealSlots, Duration From) {
   Sums Total;
   Pair Responses;
   for (const uint64_t Seed : Seeds) {
-    const Trace Jobs =
-        generateTrace(equalStreams(TeamCount, Load), Length, Seed);
+    const Trace Jobs = generateTrace(Streams, Length, Seed);
     const RunOutcome Run = Simulation(Jobs, Setup).run();
     Total.add(Run);
     Responses.add(Jobs, Run, runIdeal(Jobs, IdealSlots), From);
@@ -112,36 +142,34 @@
 
 } // namespace
 
-ResponseRatio responseAtLoad(Policy Kind, double Load) {
-  Pair Responses;
-  for (const uint64_t Seed : Seeds) {
-    const Trace Jobs =
-        generateTrace(equalStreams(TeamCount, Load), Length, Seed);
-    Responses.add(Jobs, runPolicy(Jobs, Kind, Seed), runIdeal(Jobs, SlotCount),
-                  WarmUp);
-  }
-  return {meanOf(Responses.Measured) / meanOf(Responses.Ideal),
-          percentile99(Responses.Measured) / percentile99(Responses.Ideal)};
+ResponseRatio responseAtLoad(const SeedList &Seeds, Policy Kind, double Load) {
+  return compare(Seeds, Kind, Load, 0, WarmUp);
+}
+
+ResponseRatio responseWithStragglers(const SeedList &Seeds, Policy Kind) {
+  return compare(Seeds, Kind, 0.7, StragglerCount, FaultsAt);
+}
+
+WasteFigures wasteHealthy(const SeedList &Seeds, ServiceWeight Weight) {
+  return measureWaste(Seeds, {.Weight = Weight, .TeamCount = TeamCount},
+                      equalStreams(TeamCount, 0.9), SlotCount, WarmUp);
 }
 
-WasteFigures wasteHealthy(ServiceWeight Weight) {
-  return measureWaste({.Weight = Weight, .TeamCount = TeamCount}, 0.9,
-                      SlotCount, WarmUp);
+WasteFigures wasteFaulty(const SeedList &Seeds, ServiceWeight Weight) {
+  return measureWaste(Seeds, faultySetup(Weight), equalStreams(TeamCount, 0.7),
+                      HealthySlots, FaultsAt);
 }
 
-WasteFigures wasteFaulty(ServiceWeight Weight) {
-  const uint32_t Healthy =
-      WorkerCount - KilledCount - FailAllCount - StragglerCount;
-  return measureWaste({.Weight = Weight,
-                       .TeamCount = TeamCount,
-                       .FaultsAt = FaultsAt,
-                       .Killed = KilledCount,
-                       .FailAll = FailAllCount,
-                       .Stragglers = StragglerCount},
-                      0.7, Healthy * SlotsPerWorker, FaultsAt);
+WasteFigures wasteOfRequests(const SeedList &Seeds, bool Faulty) {
+  const std::vector<Stream> Streams = equalStreams(TeamCount, 0.7, 1.0);
+  if (Faulty)
+    return measureWaste(Seeds, faultySetup(ServiceWeight::ResponseTime),
+                        Streams, HealthySlots, FaultsAt);
+  return measureWaste(Seeds, {.TeamCount = TeamCount}, Streams, SlotCount,
+                      WarmUp);
 }
 
-OverloadFigures overload() {
+OverloadFigures overload(const SeedList &Seeds) {
   OverloadFigures Figures;
   double Accepted = 0;
   double InTime = 0;
@@ -179,7 +207,7 @@
   return Figures;
 }
 
-FairnessFigures fairness(double OthersLoad) {
+FairnessFigures fairness(const SeedList &Seeds, double OthersLoad) {
   constexpr uint32_t Teams = 10;
   constexpr double Quota = 1.0 / Teams;
   std::vector<Duration> Alone;
--- a/bench/decisions/scenarios.h
+++ b/bench/decisions/scenarios.h
@@ -2,19 +2,20 @@
 #define SAPPHIREMOOR_BENCH_DECISIONS_SCENARIOS_H
 
 /// \file
-/// The measurements of the benchmark. Each pools the runs of all seeds.
+/// The measurements of the benchmark.
 
 #include "outcome.h"
 #include "trace.h"
 
 #include "placement/types/servicespec.h"
 
-#include <array>
 #include <cstdint>
+#include <vector>
 
 namespace sapphiremoor::bench {
 
-inline constexpr std::array<uint64_t, 3> Seeds{11, 22, 33};
+/// Seeds of the traces; the figures pool the runs of all of them.
+using SeedList = std::vector<uint64_t>;
 
 enum class Policy : uint8_t { Random, RoundRobin, LeastOutstanding, Placement };
 
@@ -24,7 +25,10 @@
   double P99 = 0;
 };
 
-ResponseRatio responseAtLoad(Policy Kind, double Load);
+ResponseRatio responseAtLoad(const SeedList &Seeds, Policy Kind, double Load);
+
+/// At 70 % load with 3 stragglers, over the ideal queue of the other workers.
+ResponseRatio responseWithStragglers(const SeedList &Seeds, Policy Kind);
 
 struct WasteFigures {
   double PerTask = 0;
@@ -38,9 +42,11 @@
   uint64_t RepeatedStarts = 0;
 };
 
-WasteFigures wasteHealthy(ServiceWeight Weight);
+WasteFigures wasteHealthy(const SeedList &Seeds, ServiceWeight Weight);
 /// 3 workers killed, 2 failing everything, 3 stragglers, at 70 % load.
-WasteFigures wasteFaulty(ServiceWeight Weight);
+WasteFigures wasteFaulty(const SeedList &Seeds, ServiceWeight Weight);
+/// The same two with single requests only, weight response time, 70 % load.
+WasteFigures wasteOfRequests(const SeedList &Seeds, bool Faulty);
 
 struct OverloadFigures {
   /// Run time of jobs completed in time, as part of the capacity.
@@ -52,7 +58,7 @@
 };
 
 /// Twice the capacity, deadlines of 10 to 30 s.
-OverloadFigures overload();
+OverloadFigures overload(const SeedList &Seeds);
 
 struct FairnessFigures {
   double P99AloneMs = 0;
@@ -61,7 +67,7 @@
 
 /// A team at 90 % of its quota of a tenth, while another sends 10 times its
 /// quota. The other eight teams send \p OthersLoad of their quotas.
-FairnessFigures fairness(double OthersLoad);
+FairnessFigures fairness(const SeedList &Seeds, double OthersLoad);
 
 } // namespace sapphiremoor::bench
 
--- a/bench/decisions/simulation.cpp
+++ b/bench/decisions/simulation.cpp
@@ -7,7 +7,6 @@
 namespace {
 
 constexpr uint32_t EntryVmCount = 7;
-constexpr int64_t StragglerSlowness = 10;
 constexpr Duration QuickFailure{5'000};
 
 BackendSpec specOf(uint32_t Worker) {
--- a/bench/decisions/trace.cpp
+++ b/bench/decisions/trace.cpp
@@ -9,7 +9,6 @@
 
 namespace {
 
-constexpr double SingleShare = 0.5;
 constexpr double MostTasks = 1'600;
 constexpr double TailShare = 0.02;
 
@@ -28,7 +27,7 @@
   return Duration{static_cast<int64_t>(Seconds * 1e6)};
 }
 
-std::size_t drawTaskCount(Random &Generator) {
+std::size_t drawTaskCount(Random &Generator, double SingleShare) {
   if (uniform(Generator) < SingleShare)
     return 1;
   return static_cast<std::size_t>(logUniform(Generator, 2, MostTasks + 1));
@@ -43,7 +42,7 @@
   while (Work < Wanted) {
     TraceJob Job;
     Job.Team = Source.Team;
-    Job.RunTimes.resize(drawTaskCount(Generator));
+    Job.RunTimes.resize(drawTaskCount(Generator, Source.SingleShare));
     for (Duration &RunTime : Job.RunTimes) {
       RunTime = drawRunTime(Generator);
       Work += static_cast<double>(RunTime.count());
@@ -83,10 +82,11 @@
             uniform(Generator) * static_cast<double>((Most - Least).count()))};
 }
 
-std::vector<Stream> equalStreams(uint32_t TeamCount, double Load) {
+std::vector<Stream> equalStreams(uint32_t TeamCount, double Load,
+                                 double SingleShare) {
   std::vector<Stream> Streams;
   for (uint32_t Team = 0; Team < TeamCount; ++Team)
-    Streams.push_back({Team, Load / TeamCount});
+    Streams.push_back({Team, Load / TeamCount, SingleShare});
   return Streams;
 }
 
--- a/bench/decisions/trace.h
+++ b/bench/decisions/trace.h
@@ -18,8 +18,9 @@
 inline constexpr uint32_t SlotCount = WorkerCount * SlotsPerWorker;
 /// One way between any two machines.
 inline constexpr Duration Hop{1'000};
+inline constexpr int64_t StragglerSlowness = 10;
 
-/// One job of a trace. Half of the jobs are single requests.
+/// One job of a trace.
 struct TraceJob {
   Duration Arrival{0};
   uint32_t Team = 0;
@@ -36,6 +37,8 @@
   uint32_t Team = 0;
   /// Part of the capacity of all slots that its run times add up to.
   double Load = 0;
+  /// Part of its jobs that are single requests.
+  double SingleShare = 0.5;
 };
 
 /// Generates \p Length of the streams, ordered by arrival. Arrivals are scaled
@@ -47,7 +50,8 @@
 void setDeadlines(Trace &Jobs, Duration Least, Duration Most, uint64_t Seed);
 
 /// Returns \p TeamCount streams that share \p Load equally.
-std::vector<Stream> equalStreams(uint32_t TeamCount, double Load);
+std::vector<Stream> equalStreams(uint32_t TeamCount, double Load,
+                                 double SingleShare = 0.5);
 
 } // namespace sapphiremoor::bench
 
