Add end-to-end tests with real processes and signals

Cause: promises must hold for processes that are killed, frozen and restarted, not only for the decisions. Found by the tests: a body over the limit got no answer, because evhttp closes the connection while the client still writes; the client then loses the 413. Ruled out: a linger on close, which evhttp does not offer. Conclusion: the test harness finds faults that the module tests cannot.

--- a/bench/decisions/main.cpp
+++ b/bench/decisions/main.cpp
@@ -79,8 +79,10 @@
 void printWaste(const SeedList &Seeds) {
   const WasteFigures Fast = wasteHealthy(Seeds, ServiceWeight::ResponseTime);
   const WasteFigures Thrifty = wasteHealthy(Seeds, ServiceWeight::Messages);
-  const WasteFigures FastFaulty = wasteFaulty(Seeds, ServiceWeight::ResponseTime);
-  const WasteFigures ThriftyFaulty = wasteFaulty(Seeds, ServiceWeight::Messages);
+  const WasteFigures FastFaulty =
+      wasteFaulty(Seeds, ServiceWeight::ResponseTime);
+  const WasteFigures ThriftyFaulty =
+      wasteFaulty(Seeds, ServiceWeight::Messages);
   rowAtMost("wasted messages per task, healthy, weight response time", 0.10,
             Fast.PerTask, 4);
   rowAtMost("wasted messages per task, healthy, weight messages", 0.02,
--- a/src/framework/net/internal/httpserver.cpp
+++ b/src/framework/net/internal/httpserver.cpp
@@ -50,6 +50,15 @@
   return Header + Scheme.size();
 }
 
+HttpResponse tooLarge(std::size_t Limit) {
+  return {413,
+          "{\"error\":{\"kind\":\"too_large\",\"message\":\"the body exceeds " +
+              std::to_string(Limit) +
+              " bytes\",\"remedy\":\"split the work into smaller "
+              "requests\"}}\n",
+          "application/json"};
+}
+
 HttpRequest readRequest(evhttp_request *Request) {
   HttpRequest Read;
   Read.Method = methodOf(Request);
@@ -171,7 +180,10 @@
       Sweep(Loop, [this] { sweepConnections(); }) {
   evhttp_set_max_headers_size(Http,
                               static_cast<ev_ssize_t>(Limits.HeaderBytes));
-  evhttp_set_max_body_size(Http, static_cast<ev_ssize_t>(Limits.BodyBytes));
+  // evhttp closes the connection when its limit is passed, and the client may
+  // lose the answer. A body up to twice the limit is read whole, so that it can
+  // be refused with a typed error.
+  evhttp_set_max_body_size(Http, static_cast<ev_ssize_t>(2 * Limits.BodyBytes));
   evhttp_set_timeout(
       Http,
       static_cast<int>(
@@ -248,7 +260,12 @@
   ++Common->OpenRequests;
   evhttp_connection_set_closecb(evhttp_request_get_connection(Request),
                                 Responder::State::onClose, Pending.get());
-  OnRequest(readRequest(Request), Responder(std::move(Pending)));
+  const Responder Answer(std::move(Pending));
+  if (evbuffer_get_length(evhttp_request_get_input_buffer(Request)) >
+      Limits.BodyBytes)
+    Answer.respond(tooLarge(Limits.BodyBytes));
+  else
+    OnRequest(readRequest(Request), Answer);
 }
 
 void HttpServer::sweepConnections() {
--- /dev/null
+++ b/tests/endtoend/process.h
@@ -0,0 +1,36 @@
+#ifndef SAPPHIREMOOR_TESTS_ENDTOEND_PROCESS_H
+#define SAPPHIREMOOR_TESTS_ENDTOEND_PROCESS_H
+
+#include <string>
+#include <vector>
+
+#include <sys/types.h>
+
+namespace sapphiremoor::endtoend {
+
+/// A child process of a test; it is killed with the object.
+class Process {
+public:
+  /// Starts \p Arguments[0]; its output goes to \p LogFile.
+  Process(const std::vector<std::string> &Arguments,
+          const std::string &LogFile);
+  ~Process();
+  Process(const Process &) = delete;
+  Process &operator=(const Process &) = delete;
+
+  void signal(int Number) const;
+  /// Returns true once the process has ended.
+  bool ended();
+  /// Kills the process and waits for its end.
+  void kill();
+  /// Exit status, valid once ended; -1 if a signal ended it.
+  int exitCode() const { return ExitCode; }
+
+private:
+  pid_t Id = -1;
+  int ExitCode = -1;
+};
+
+} // namespace sapphiremoor::endtoend
+
+#endif // SAPPHIREMOOR_TESTS_ENDTOEND_PROCESS_H
