Add a relay that disturbs TCP connections on command

Process tests need cut, silent and slow connections between programs of one machine.

Ruled out: signals as commands, because they carry no arguments and no answer; letting a direction go on after bytes were lost, because TCP never shows a stream with a hole.

It listens and relays on loopback only. The slot test of the stand-in now runs its tasks for 500 ms, because 20 ms could pass between the arrival of its three requests on a busy machine.

--- /dev/null
+++ b/tests/relay/loopback.h
@@ -0,0 +1,43 @@
+#ifndef SAPPHIREMOOR_TESTS_RELAY_LOOPBACK_H
+#define SAPPHIREMOOR_TESTS_RELAY_LOOPBACK_H
+
+#include "handles.h"
+
+#include <netinet/in.h>
+#include <sys/socket.h>
+
+#include <cstdint>
+
+namespace sapphiremoor::relay {
+
+/// Returns the address of \p Port on the loopback interface.
+inline sockaddr_in loopback(uint16_t Port) {
+  sockaddr_in Address{};
+  Address.sin_family = AF_INET;
+  Address.sin_port = htons(Port);
+  Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  return Address;
+}
+
+/// Listens on \p Port of the loopback interface, 0 for any. Null on failure.
+inline ListenerHandle listenOn(event_base *Base, uint16_t Port,
+                               evconnlistener_cb OnAccept, void *Argument) {
+  const sockaddr_in Address = loopback(Port);
+  return ListenerHandle(evconnlistener_new_bind(
+      Base, OnAccept, Argument, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, -1,
+      reinterpret_cast<const sockaddr *>(&Address), sizeof(Address)));
+}
+
+/// Returns the port that \p Socket listens on.
+inline uint16_t portOf(const ListenerHandle &Socket) {
+  sockaddr_in Address{};
+  socklen_t Size = sizeof(Address);
+  if (getsockname(evconnlistener_get_fd(Socket.get()),
+                  reinterpret_cast<sockaddr *>(&Address), &Size) != 0)
+    return 0;
+  return ntohs(Address.sin_port);
+}
+
+} // namespace sapphiremoor::relay
+
+#endif // SAPPHIREMOOR_TESTS_RELAY_LOOPBACK_H
--- a/tests/standin/tests/standin_test.cpp
+++ b/tests/standin/tests/standin_test.cpp
@@ -84,6 +84,8 @@
 TEST_CASE("tasks beyond the slots are refused and not counted") {
   Fixture Here;
   Here.Settings.Slots = 2;
+  // Long enough that all three requests arrive while the first two run.
+  Here.Settings.Run = std::chrono::milliseconds(500);
   for (const char *Task : {"k.1/0", "k.1/1", "k.1/2"})
     Here.post(Task);
   event_base_dispatch(Here.Base.get());
