Probe failing workers with single requests and let idle slots try short deadlines

Change: a worker whose ejection ended waits 1 s for a single request before any task may be the probe; a slow worker is probed with any task. With a free slot for each task a job is admitted if the mean run time fits its deadline.

--- a/bench/decisions/main.cpp
+++ b/bench/decisions/main.cpp
@@ -79,8 +79,10 @@
 void printWaste(const SeedList &Seeds) {
   const WasteFigures Fast = wasteHealthy(Seeds, ServiceWeight::ResponseTime);
   const WasteFigures Thrifty = wasteHealthy(Seeds, ServiceWeight::Messages);
-  const WasteFigures FastFaulty = wasteFaulty(Seeds, ServiceWeight::ResponseTime);
-  const WasteFigures ThriftyFaulty = wasteFaulty(Seeds, ServiceWeight::Messages);
+  const WasteFigures FastFaulty =
+      wasteFaulty(Seeds, ServiceWeight::ResponseTime);
+  const WasteFigures ThriftyFaulty =
+      wasteFaulty(Seeds, ServiceWeight::Messages);
   rowAtMost("wasted messages per task, healthy, weight response time", 0.10,
             Fast.PerTask, 4);
   rowAtMost("wasted messages per task, healthy, weight messages", 0.02,
@@ -116,6 +118,9 @@
               "%.4f, %.4f, %.5f | |\n",
               FastFaulty.Completed, ThriftyFaulty.Completed,
               RequestsFaulty.Completed);
+  std::printf("| tasks in completed jobs, faulty: each weight | | %.4f, %.4f | "
+              "|\n",
+              FastFaulty.CompletedTasks, ThriftyFaulty.CompletedTasks);
 }
 
 void printOverload(const SeedList &Seeds) {
--- a/bench/decisions/scenarios.cpp
+++ b/bench/decisions/scenarios.cpp
@@ -88,9 +88,17 @@
   double Refusals = 0;
   double Jobs = 0;
   double Completed = 0;
+  double Tasks = 0;
+  double CompletedTasks = 0;
   uint64_t Repeated = 0;
 
-  void add(const RunOutcome &Run) {
+  void add(const Trace &Traced, const RunOutcome &Run) {
+    for (std::size_t Job = 0; Job < Traced.size(); ++Job) {
+      const auto Count = static_cast<double>(Traced[Job].RunTimes.size());
+      Tasks += Count;
+      if (Run.Jobs[Job].End == JobEnd::Complete)
+        CompletedTasks += Count;
+    }
     Messages += static_cast<double>(Run.Messages);
     Answered += static_cast<double>(Run.AnsweredTasks);
     Hedges += static_cast<double>(Run.Hedges);
@@ -119,7 +127,7 @@
   for (const uint64_t Seed : Seeds) {
     const Trace Jobs = generateTrace(Streams, Length, Seed);
     const RunOutcome Run = Simulation(Jobs, Setup).run();
-    Total.add(Run);
+    Total.add(Jobs, Run);
     Responses.add(Jobs, Run, runIdeal(Jobs, IdealSlots), From);
   }
   return {.PerTask = (Total.Messages - 2 * Total.Answered) / Total.Answered,
@@ -127,6 +135,7 @@
           .Refusals = 2 * Total.Refusals / Total.Answered,
           .MeanRatio = meanOf(Responses.Measured) / meanOf(Responses.Ideal),
           .Completed = Total.Completed / Total.Jobs,
+          .CompletedTasks = Total.CompletedTasks / Total.Tasks,
           .RepeatedStarts = Total.Repeated};
 }
 
--- a/bench/decisions/scenarios.h
+++ b/bench/decisions/scenarios.h
@@ -36,9 +36,10 @@
   double Hedges = 0;
   double Refusals = 0;
   /// Mean response of the completed jobs over the ideal queue of the healthy
-  /// workers, and the part of all jobs that completed.
+  /// workers, and the parts of all jobs and of all tasks in completed jobs.
   double MeanRatio = 0;
   double Completed = 0;
+  double CompletedTasks = 0;
   uint64_t RepeatedStarts = 0;
 };
 
--- a/src/placement/internal/admission.cpp
+++ b/src/placement/internal/admission.cpp
@@ -141,8 +141,12 @@
   const Duration Wait =
       detail::scaled(detail::predictJob(State, Service, Team, Shape.TaskCount),
                      Team.WaitFactor);
+  // With a free slot for each task the job delays nobody and may try; behind
+  // a queue only a job that will very likely be in time is worth its slots.
   const Duration Run =
-      Service.Times.quantile(1 - detail::LateShare / Shape.TaskCount);
+      Wait == Duration{0}
+          ? Service.Times.mean()
+          : Service.Times.quantile(1 - detail::LateShare / Shape.TaskCount);
   if (Now + Wait + Run > Shape.Deadline)
     return detail::overloaded("deadline cannot be met",
                               "retry later or allow more time");
--- a/src/placement/internal/backends.cpp
+++ b/src/placement/internal/backends.cpp
@@ -60,8 +60,11 @@
       Carried.Standing == Health::Ejected ||
       Carried.Standing == Health::Probing)
     return Listing::None;
-  return Carried.Standing == Health::Reserve ? Listing::Reserve
-                                             : Listing::Preferred;
+  if (Carried.Standing == Health::Reserve)
+    return Listing::Reserve;
+  return Carried.Standing == Health::ProbeDue && !Carried.ProbeByAny
+             ? Listing::Probe
+             : Listing::Preferred;
 }
 
 /// Takes a carriage out of all indexes, sums and timers.
@@ -141,6 +144,8 @@
   }
   if (Carried.Listed == Listing::Reserve)
     Service.Reserve.erase(Backend.Position, Carried.Level);
+  if (Carried.Listed == Listing::Probe)
+    Service.Probe.erase(Backend.Position, Carried.Level);
   Carried.Listed = Wanted;
   Carried.Level = Level;
   if (Wanted == Listing::Preferred) {
@@ -149,6 +154,8 @@
   }
   if (Wanted == Listing::Reserve)
     Service.Reserve.insert(Backend.Position, Level);
+  if (Wanted == Listing::Probe)
+    Service.Probe.insert(Backend.Position, Level);
   if (Service.Queued > 0)
     refreshReady(State, Carried.Service);
 }
@@ -207,7 +214,12 @@
     BackendRecord &Backend = State.Backends[*Owner >> 32];
     Carriage *Carried = findCarriage(Backend, static_cast<uint32_t>(*Owner));
     Carried->ProbeAt = Instant::max();
+    Carried->ProbeByAny =
+        Carried->Slow || Carried->Standing == Health::ProbeDue;
     setStanding(State, Backend, *Carried, Health::ProbeDue);
+    if (!Carried->ProbeByAny)
+      probeAt(State, static_cast<uint32_t>(*Owner >> 32), *Carried,
+              Now + State.Limits.ProbePatience);
   }
 }
 
--- a/src/placement/internal/health.cpp
+++ b/src/placement/internal/health.cpp
@@ -157,8 +157,10 @@
     judgeRefusal(State, Backend, Carried, Now);
     [[fallthrough]];
   case TaskOutcome::Cancelled:
-    if (Carried.Standing == Health::Probing)
+    if (Carried.Standing == Health::Probing) {
+      Carried.ProbeByAny = true;
       setStanding(State, Record, Carried, Health::ProbeDue);
+    }
     return;
   }
 }
--- a/src/placement/internal/queues.cpp
+++ b/src/placement/internal/queues.cpp
@@ -136,19 +136,21 @@
     Queue.Entries.pop_front();
 }
 
-uint32_t chooseBackend(const PlacementState &State, uint32_t ServiceIndex,
+uint32_t chooseBackend(const PlacementState &State, const JobRecord &Job,
                        uint32_t Excluded) {
-  const ServiceRecord &Service = State.Services[ServiceIndex];
+  const ServiceRecord &Service = State.Services[Job.Service];
   const uint32_t ExcludedPosition =
       Excluded == NoIndex ? NoIndex : State.Backends[Excluded].Position;
+  if (Job.SingleRequest && Excluded == NoIndex)
+    if (const auto Position = Service.Probe.pick(NoIndex))
+      return State.PositionOwners[*Position];
   if (const auto Position = Service.Preferred.pick(ExcludedPosition))
     return State.PositionOwners[*Position];
   const auto Position = Service.Reserve.pick(ExcludedPosition);
   if (!Position)
     return NoIndex;
   const uint32_t Backend = State.PositionOwners[*Position];
-  return worthReserve(State, Service, Backend, ServiceIndex) ? Backend
-                                                             : NoIndex;
+  return worthReserve(State, Service, Backend, Job.Service) ? Backend : NoIndex;
 }
 
 void refreshWaiting(PlacementState &State, uint32_t ServiceIndex,
@@ -174,10 +176,13 @@
 void refreshReady(PlacementState &State, uint32_t ServiceIndex) {
   ServiceRecord &Service = State.Services[ServiceIndex];
   std::optional<ReadyKey> Wanted;
-  if (Service.Queued > 0 &&
-      chooseBackend(State, ServiceIndex, NoIndex) != NoIndex) {
-    const auto &[Quantum, Sequence, Team] = *Service.Waiting.begin();
-    Wanted = ReadyKey{Quantum, Sequence, ServiceIndex};
+  if (Service.Queued > 0) {
+    const auto &[Rank, Sequence, Team] = *Service.Waiting.begin();
+    TeamQueue &Queue = Service.Queues[Team];
+    trimFront(State, Queue);
+    const JobRecord &First = State.Jobs[Queue.Entries.front().Job];
+    if (chooseBackend(State, First, NoIndex) != NoIndex)
+      Wanted = ReadyKey{Rank, Sequence, ServiceIndex};
   }
   if (Wanted == Service.Ready)
     return;
--- a/src/placement/internal/queues.h
+++ b/src/placement/internal/queues.h
@@ -20,9 +20,9 @@
 /// Computes again whether a service can start a task now, and its order.
 void refreshReady(PlacementState &State, uint32_t Service);
 
-/// Returns the backend server that the next start of a service goes to, other
-/// than \p Excluded, or NoIndex.
-uint32_t chooseBackend(const PlacementState &State, uint32_t Service,
+/// Returns the backend server that the next start of \p Job goes to, other
+/// than \p Excluded, or NoIndex. Single requests go to due probes first.
+uint32_t chooseBackend(const PlacementState &State, const JobRecord &Job,
                        uint32_t Excluded);
 
 /// Changes the number of running tasks of a team.
--- a/src/placement/internal/starts.cpp
+++ b/src/placement/internal/starts.cpp
@@ -21,8 +21,10 @@
   Carriage *Carried = findCarriage(Backend, Service);
   State.Services[Service].Preferred.advance(Backend.Position);
   ++Backend.Running;
-  if (Carried->Standing == Health::ProbeDue)
+  if (Carried->Standing == Health::ProbeDue) {
+    probeAt(State, BackendIndex, *Carried, Instant::max());
     setStanding(State, Backend, *Carried, Health::Probing);
+  }
   relistAll(State, Backend);
 }
 
@@ -86,7 +88,7 @@
   const uint32_t TaskIndex = Entry.Next++;
   if (Entry.Next == Entry.End)
     Queue.Entries.pop_front();
-  const uint32_t Backend = chooseBackend(State, ServiceIndex, NoIndex);
+  const uint32_t Backend = chooseBackend(State, Job, NoIndex);
   // The sums must match the queue before anything else reads them.
   subtractQueued(State, Job, 1);
   Starts.push_back(startOn(State, Job, TaskIndex, Backend, false));
@@ -114,8 +116,7 @@
         Task.Hedge.running() || Job.Dropped || Service.RetryTokens < 1 ||
         Job.Deadline <= Now)
       continue;
-    const uint32_t Backend =
-        chooseBackend(State, Job.Service, Task.First.Backend);
+    const uint32_t Backend = chooseBackend(State, Job, Task.First.Backend);
     if (Backend == NoIndex)
       continue;
     Service.RetryTokens -= 1;
--- a/src/placement/types/backendrecord.h
+++ b/src/placement/types/backendrecord.h
@@ -22,7 +22,7 @@
 };
 
 /// Which index of a service holds a backend server.
-enum class Listing : uint8_t { None, Preferred, Reserve };
+enum class Listing : uint8_t { None, Preferred, Reserve, Probe };
 
 /// One service on one backend server.
 struct Carriage {
@@ -30,6 +30,8 @@
   Health Standing = Health::Good;
   /// True if speed, not outcome, led to the standing.
   bool Slow = false;
+  /// True if no single request came in time to probe with.
+  bool ProbeByAny = false;
   Listing Listed = Listing::None;
   uint32_t Level = 0;
   uint32_t FailuresInRow = 0;
@@ -43,7 +45,8 @@
   /// No start before this instant; the timer is set while Resting.
   Instant RestUntil{};
   bool Resting = false;
-  /// End of the ejection, or the next try of a slow worker.
+  /// End of the ejection, the next try of a slow worker, or the end of the
+  /// wait for a single request to probe with.
   Instant ProbeAt = Instant::max();
 };
 
--- a/src/placement/types/placementlimits.h
+++ b/src/placement/types/placementlimits.h
@@ -27,6 +27,9 @@
   double SlowFactor = 2.5;
   /// Time after which a slow worker is tried again with one task.
   Duration SlowProbe{30'000'000};
+  /// Time for which a probe waits for a single request: a failed probe then
+  /// costs one request instead of a job of many tasks.
+  Duration ProbePatience{1'000'000};
   /// Rest of a backend server after its first refusal as busy, doubled for
   /// each further one in a row up to the longest.
   Duration FirstRest{10'000};
--- a/src/placement/types/servicerecord.h
+++ b/src/placement/types/servicerecord.h
@@ -46,6 +46,7 @@
   double FailureShare = 0;
   SlotIndex Preferred;
   SlotIndex Reserve;
+  SlotIndex Probe;
   /// Queues by team number.
   std::vector<TeamQueue> Queues;
   /// Queues with queued tasks.
