Survive a takeover with busy slots within the retry budget

Change: distrustSlots starts tasks on a backend server one per 10 ms for 2 s, as does each refusal; the rest after a refusal is at least the time in which one busy slot becomes free; at three quarters of the budget or less each rest is 1 s. Conclusion: the daemon should call distrustSlots when it becomes dispatcher.

--- a/bench/decisions/costs.h
+++ b/bench/decisions/costs.h
@@ -5,9 +5,15 @@
 
 namespace sapphiremoor::bench {
 
-/// Returns the processor time in microseconds of all decisions per task start
-/// (admission, queueing, choice, end) with all slots of \p Workers busy.
-double decisionMicroseconds(uint32_t Workers);
+/// Processor time in microseconds of all decisions per task start (admission,
+/// queueing, choice, end) with all slots busy.
+struct DecisionCosts {
+  double Workers50 = 0;
+  double Workers940 = 0;
+};
+
+/// Measures both sizes in turn and takes the least of each.
+DecisionCosts decisionCosts();
 
 /// Returns the microseconds per task of cancelling 10,000 queued tasks in jobs
 /// of \p TasksPerJob, including the later skip of the dropped entries.
--- a/bench/decisions/main.cpp
+++ b/bench/decisions/main.cpp
@@ -136,6 +136,18 @@
               Figures.Refused);
 }
 
+void printTakeover(const SeedList &Seeds) {
+  const TakeoverFigures Trusting = takeover(Seeds, false);
+  const TakeoverFigures Wary = takeover(Seeds, true);
+  std::printf("| takeover with busy slots: refused starts, failed jobs | | "
+              "%llu, %llu | |\n",
+              static_cast<unsigned long long>(Wary.Refusals),
+              static_cast<unsigned long long>(Wary.FailedJobs));
+  std::printf("| the same without distrustSlots | | %llu, %llu | |\n",
+              static_cast<unsigned long long>(Trusting.Refusals),
+              static_cast<unsigned long long>(Trusting.FailedJobs));
+}
+
 void printFairness(const SeedList &Seeds, const char *Others, double Load) {
   const FairnessFigures Figures = fairness(Seeds, Load);
   rowAtMost(std::string("p99 of a team, another at 10 times its quota, ") +
@@ -146,11 +158,13 @@
 }
 
 void printCosts() {
-  const double Small = decisionMicroseconds(50);
-  const double Large = decisionMicroseconds(940);
-  rowAtMost("decision time per task start, 50 workers, us", 2.0, Small);
-  rowAtMost("decision time per task start, 940 workers, us", 2.0, Large);
-  rowAtMost("decision time, 940 / 50 workers", 1.5, Large / Small);
+  const DecisionCosts Costs = decisionCosts();
+  rowAtMost("decision time per task start, 50 workers, us", 2.0,
+            Costs.Workers50);
+  rowAtMost("decision time per task start, 940 workers, us", 2.0,
+            Costs.Workers940);
+  rowAtMost("decision time, 940 / 50 workers", 1.5,
+            Costs.Workers940 / Costs.Workers50);
   std::printf("| cancelling 10,000 queued tasks, us per task: jobs of 1,000, "
               "of 1 | | %.4f, %.4f | |\n",
               cancelMicroseconds(1'000), cancelMicroseconds(1));
@@ -173,6 +187,7 @@
   printTargets(Seeds);
   printWaste(Seeds);
   printOverload(Seeds);
+  printTakeover(Seeds);
   printFairness(Seeds, "other teams silent", 0.0);
   printFairness(Seeds, "other teams at half their quota", 0.5);
   printCosts();
--- a/bench/decisions/scenarios.cpp
+++ b/bench/decisions/scenarios.cpp
@@ -178,6 +178,24 @@
                       WarmUp);
 }
 
+TakeoverFigures takeover(const SeedList &Seeds, bool DistrustSlots) {
+  TakeoverFigures Figures;
+  for (const uint64_t Seed : Seeds) {
+    Trace Jobs = generateTrace(equalStreams(TeamCount, 0.9), WarmUp, Seed);
+    // The callers of the lost dispatcher come back at once.
+    for (TraceJob &Job : Jobs)
+      Job.Arrival = std::max(Job.Arrival - WarmUp / 3, Duration{0});
+    SimulationSetup Setup{.TeamCount = TeamCount};
+    Setup.Takeover = true;
+    Setup.DistrustSlots = DistrustSlots;
+    const RunOutcome Run = Simulation(Jobs, Setup).run();
+    Figures.Refusals += Run.Refusals;
+    Figures.FailedJobs += static_cast<uint64_t>(
+        std::ranges::count(Run.Jobs, JobEnd::Failed, &JobOutcome::End));
+  }
+  return Figures;
+}
+
 OverloadFigures overload(const SeedList &Seeds) {
   OverloadFigures Figures;
   double Accepted = 0;
--- a/bench/decisions/scenarios.h
+++ b/bench/decisions/scenarios.h
@@ -49,6 +49,14 @@
 /// The same two with single requests only, weight response time, 70 % load.
 WasteFigures wasteOfRequests(const SeedList &Seeds, bool Faulty);
 
+struct TakeoverFigures {
+  uint64_t Refusals = 0;
+  uint64_t FailedJobs = 0;
+};
+
+/// A dispatcher takes over at 90 % load while all slots are still busy.
+TakeoverFigures takeover(const SeedList &Seeds, bool DistrustSlots);
+
 struct OverloadFigures {
   /// Run time of jobs completed in time, as part of the capacity.
   double Goodput = 0;
--- a/bench/decisions/simulation.h
+++ b/bench/decisions/simulation.h
@@ -26,6 +26,10 @@
   uint32_t Killed = 0;
   uint32_t FailAll = 0;
   uint32_t Stragglers = 0;
+  /// The dispatcher takes over at the start, while all slots hold tasks of its
+  /// predecessor, and says so to placement or not.
+  bool Takeover = false;
+  bool DistrustSlots = false;
 };
 
 class Simulation {
@@ -35,7 +39,15 @@
   RunOutcome run();
 
 private:
-  enum class EventKind : uint8_t { Arrive, Reach, End, Answer, Wake, Faults };
+  enum class EventKind : uint8_t {
+    Arrive,
+    Reach,
+    End,
+    Answer,
+    Wake,
+    Faults,
+    ForeignEnd
+  };
 
   struct Event {
     Duration At{0};
@@ -53,6 +65,8 @@
     bool FailsAll = false;
     int64_t Slowness = 1;
     std::vector<uint32_t> Running;
+    /// Tasks of the predecessor.
+    uint32_t Foreign = 0;
   };
 
   /// One start message and what came of it.
@@ -77,6 +91,7 @@
   void endTask(uint32_t Id);
   void answer(uint32_t Id);
   void beginFaults();
+  void takeOver();
   void finish(uint32_t Job, JobEnd End);
   void startTasks();
 
--- a/src/placement/internal/backends.cpp
+++ b/src/placement/internal/backends.cpp
@@ -257,6 +257,11 @@
   detail::attachServices(State, Index, std::move(Before));
 }
 
+void distrustSlots(PlacementState &State, Instant Now) {
+  for (BackendRecord &Backend : State.Backends)
+    Backend.CautiousUntil = Now + State.Limits.Caution;
+}
+
 void removeBackend(PlacementState &State, const std::string &Id) {
   const auto Found = State.BackendNumbers.find(Id);
   if (Found == State.BackendNumbers.end() ||
@@ -267,6 +272,7 @@
   State.Slots -= State.Backends[Index].Spec.Slots;
   State.Backends[Index].Removed = true;
   State.Backends[Index].RefusalsInRow = 0;
+  State.Backends[Index].RefusedUntil = Instant{};
   detail::forgetIfIdle(State, Index);
 }
 
--- a/src/placement/internal/health.cpp
+++ b/src/placement/internal/health.cpp
@@ -14,6 +14,8 @@
 constexpr double FailureWeight = 0.02;
 // With more failures than this the service is at fault, not its workers.
 constexpr double BadService = 0.5;
+// Below this part of the retry budget a refusal leads to the longest rest.
+constexpr double LowBudget = 0.75;
 constexpr double SpeedWeight = 0.2;
 constexpr double ProbeWeight = 0.5;
 // A mean learned from fewer tasks is no measure for a worker's speed.
@@ -126,12 +128,22 @@
 void judgeRefusal(PlacementState &State, uint32_t Backend, Carriage &Carried,
                   Instant Now) {
   BackendRecord &Record = State.Backends[Backend];
+  const ServiceRecord &Service = State.Services[Carried.Service];
   // Starts sent before the first refusal arrived say nothing new.
-  if (Carried.Resting && Carried.RestUntil > Now)
+  if (Now < Record.RefusedUntil)
     return;
+  // A slot is free about once in this time if all are busy.
+  const Duration PerSlot =
+      Service.Times.mean() / std::max(Record.Spec.Slots, 1U);
   const uint32_t Doublings = std::min(Record.RefusalsInRow++, 16U);
-  const Duration Rest = std::min(State.Limits.FirstRest * (1 << Doublings),
-                                 State.Limits.LongestRest);
+  const bool BudgetLow =
+      Service.RetryTokens < LowBudget * State.Limits.RetryTokens;
+  const Duration Wanted =
+      std::max(State.Limits.FirstRest, PerSlot) * (1 << Doublings);
+  const Duration Rest = BudgetLow ? State.Limits.LongestRest
+                                  : std::min(Wanted, State.Limits.LongestRest);
+  Record.RefusedUntil = Now + Rest;
+  Record.CautiousUntil = Record.RefusedUntil + State.Limits.Caution;
   for (Carriage &Each : Record.Carriages)
     restUntil(State, Backend, Each, std::max(Each.RestUntil, Now + Rest));
 }
--- a/src/placement/internal/starts.cpp
+++ b/src/placement/internal/starts.cpp
@@ -16,7 +16,8 @@
 constexpr Duration ShortWait{20'000};
 constexpr double WaitWeight = 0.1;
 
-void occupy(PlacementState &State, uint32_t BackendIndex, uint32_t Service) {
+void occupy(PlacementState &State, uint32_t BackendIndex, uint32_t Service,
+            Instant Now) {
   BackendRecord &Backend = State.Backends[BackendIndex];
   Carriage *Carried = findCarriage(Backend, Service);
   State.Services[Service].Preferred.advance(Backend.Position);
@@ -25,12 +26,16 @@
     probeAt(State, BackendIndex, *Carried, Instant::max());
     setStanding(State, Backend, *Carried, Health::Probing);
   }
+  if (Now < Backend.CautiousUntil)
+    for (Carriage &Each : Backend.Carriages)
+      restUntil(State, BackendIndex, Each,
+                std::max(Each.RestUntil, Now + State.Limits.FirstRest));
   relistAll(State, Backend);
 }
 
 /// Occupies the slot, charges the team and records the start.
 TaskStart startOn(PlacementState &State, JobRecord &Job, uint32_t TaskIndex,
-                  uint32_t Backend, bool Hedge) {
+                  uint32_t Backend, bool Hedge, Instant Now) {
   ServiceRecord &Service = State.Services[Job.Service];
   const double Charge =
       static_cast<double>(Service.Times.mean().count()) * SecondsPerUs;
@@ -40,7 +45,7 @@
   Started.Charged = static_cast<float>(Charge);
   Task.Phase = TaskPhase::Started;
   ++Job.Running;
-  occupy(State, Backend, Job.Service);
+  occupy(State, Backend, Job.Service, Now);
   const TeamRecord &Team = State.Teams[Job.Team];
   State.VirtualTime = std::max(State.VirtualTime, Team.VirtualTime);
   addRunning(State, Job.Team, 1);
@@ -91,7 +96,7 @@
   const uint32_t Backend = chooseBackend(State, Job, NoIndex);
   // The sums must match the queue before anything else reads them.
   subtractQueued(State, Job, 1);
-  Starts.push_back(startOn(State, Job, TaskIndex, Backend, false));
+  Starts.push_back(startOn(State, Job, TaskIndex, Backend, false, Now));
   Service.RetryTokens = std::min(Service.RetryTokens + State.Limits.RetryShare,
                                  State.Limits.RetryTokens);
   armHedge(State, Job, JobIndex, Now);
@@ -120,7 +125,7 @@
     if (Backend == NoIndex)
       continue;
     Service.RetryTokens -= 1;
-    Starts.push_back(startOn(State, Job, 0, Backend, true));
+    Starts.push_back(startOn(State, Job, 0, Backend, true, Now));
   }
 }
 
--- a/src/placement/tests/property_test.cpp
+++ b/src/placement/tests/property_test.cpp
@@ -40,6 +40,10 @@
       if (draw(4) == 0)
         cancel();
       break;
+    case 4:
+      if (draw(4) == 0)
+        distrustSlots(State, Now);
+      break;
     default:
       for (uint64_t Count = draw(6); Count > 0 && !Running.empty(); --Count)
         finishOne(static_cast<TaskOutcome>(draw(5)));
--- a/src/placement/types/backendrecord.h
+++ b/src/placement/types/backendrecord.h
@@ -56,6 +56,11 @@
   std::vector<Carriage> Carriages;
   uint32_t Running = 0;
   uint32_t RefusalsInRow = 0;
+  /// End of the rest after a refusal.
+  Instant RefusedUntil{};
+  /// Until then its slots may hold tasks of another dispatcher, so that starts
+  /// follow each other slowly enough for a refusal to arrive in between.
+  Instant CautiousUntil{};
   uint32_t Position = 0;
   bool Removed = false;
 
