Measure one team alone and the onset of a flood in the decisions benchmark

Cause: sharing between teams lets small jobs pass large ones, so that the mean over all teams hides the cost of message delays; the flood was measured only after its first 30 s. Change: a row for placement with a single team, and the mean response in the first 30 s of the flood.

--- a/bench/decisions/main.cpp
+++ b/bench/decisions/main.cpp
@@ -53,7 +53,8 @@
       {Policy::Random, "random, 3 VMs"},
       {Policy::RoundRobin, "round robin, 3 VMs"},
       {Policy::LeastOutstanding, "least outstanding, 3 VMs"},
-      {Policy::Placement, "placement"}};
+      {Policy::Placement, "placement"},
+      {Policy::PlacementOneTeam, "placement, one team"}};
   for (const auto &[Kind, Name] : Rows) {
     std::printf("| %s |", Name);
     for (const double Load : {0.7, 0.9, 0.98}) {
@@ -155,6 +156,9 @@
             1.20, Figures.P99FloodedMs / Figures.P99AloneMs);
   std::printf("| p99 without and with the flood, %s | | %.0f ms, %.0f ms | |\n",
               Others, Figures.P99AloneMs, Figures.P99FloodedMs);
+  std::printf("| mean response in the first 30 s of the flood / without, %s | "
+              "| %.3f | |\n",
+              Others, Figures.OnsetRatio);
 }
 
 void printCosts() {
--- a/bench/decisions/scenarios.cpp
+++ b/bench/decisions/scenarios.cpp
@@ -58,6 +58,7 @@
     return runBaseline(Jobs, Choice::LeastOutstanding, Seed, Stragglers,
                        FaultsAt);
   case Policy::Placement:
+  case Policy::PlacementOneTeam:
     break;
   }
   SimulationSetup Setup{.TeamCount = TeamCount};
@@ -69,10 +70,10 @@
 ResponseRatio compare(const SeedList &Seeds, Policy Kind, double Load,
                       uint32_t Stragglers, Duration From) {
   const uint32_t IdealSlots = SlotCount - Stragglers * SlotsPerWorker;
+  const uint32_t Teams = Kind == Policy::PlacementOneTeam ? 1 : TeamCount;
   Pair Responses;
   for (const uint64_t Seed : Seeds) {
-    const Trace Jobs =
-        generateTrace(equalStreams(TeamCount, Load), Length, Seed);
+    const Trace Jobs = generateTrace(equalStreams(Teams, Load), Length, Seed);
     Responses.add(Jobs, runPolicy(Jobs, Kind, Seed, Stragglers),
                   runIdeal(Jobs, IdealSlots), From);
   }
@@ -139,15 +140,18 @@
           .RepeatedStarts = Total.Repeated};
 }
 
-std::vector<Duration> responsesOfTeam(const Trace &Jobs, const RunOutcome &Run,
-                                      uint32_t Team) {
-  std::vector<Duration> Responses;
-  for (std::size_t Job = 0; Job < Jobs.size(); ++Job)
-    if (Jobs[Job].Team == Team && Jobs[Job].Arrival >= WarmUp &&
-        Run.Jobs[Job].End == JobEnd::Complete)
-      Responses.push_back(Run.Jobs[Job].Response);
-  return Responses;
-}
+/// Responses of one team: before the end of the warm-up and after it.
+struct TeamResponses {
+  std::vector<Duration> Early;
+  std::vector<Duration> Late;
+
+  void add(const Trace &Jobs, const RunOutcome &Run, uint32_t Team) {
+    for (std::size_t Job = 0; Job < Jobs.size(); ++Job)
+      if (Jobs[Job].Team == Team && Run.Jobs[Job].End == JobEnd::Complete)
+        (Jobs[Job].Arrival < WarmUp ? Early : Late)
+            .push_back(Run.Jobs[Job].Response);
+  }
+};
 
 } // namespace
 
@@ -237,8 +241,8 @@
 FairnessFigures fairness(const SeedList &Seeds, double OthersLoad) {
   constexpr uint32_t Teams = 10;
   constexpr double Quota = 1.0 / Teams;
-  std::vector<Duration> Alone;
-  std::vector<Duration> Flooded;
+  TeamResponses Alone;
+  TeamResponses Flooded;
   for (const uint64_t Seed : Seeds) {
     std::vector<Stream> Streams{{0, 0.9 * Quota}};
     for (uint32_t Team = 2; Team < Teams && OthersLoad > 0; ++Team)
@@ -247,13 +251,11 @@
     Streams.push_back({1, 10 * Quota});
     const Trace With = generateTrace(Streams, Length, Seed);
     const SimulationSetup Setup{.TeamCount = Teams};
-    std::ranges::copy(
-        responsesOfTeam(Without, Simulation(Without, Setup).run(), 0),
-        std::back_inserter(Alone));
-    std::ranges::copy(responsesOfTeam(With, Simulation(With, Setup).run(), 0),
-                      std::back_inserter(Flooded));
+    Alone.add(Without, Simulation(Without, Setup).run(), 0);
+    Flooded.add(With, Simulation(With, Setup).run(), 0);
   }
-  return {percentile99(Alone) / 1e3, percentile99(Flooded) / 1e3};
+  return {percentile99(Alone.Late) / 1e3, percentile99(Flooded.Late) / 1e3,
+          meanOf(Flooded.Early) / meanOf(Alone.Early)};
 }
 
 } // namespace sapphiremoor::bench
--- a/bench/decisions/scenarios.h
+++ b/bench/decisions/scenarios.h
@@ -17,7 +17,14 @@
 /// Seeds of the traces; the figures pool the runs of all of them.
 using SeedList = std::vector<uint64_t>;
 
-enum class Policy : uint8_t { Random, RoundRobin, LeastOutstanding, Placement };
+enum class Policy : uint8_t {
+  Random,
+  RoundRobin,
+  LeastOutstanding,
+  Placement,
+  /// Placement with a single team: its queue has the order of the ideal one.
+  PlacementOneTeam
+};
 
 /// Response over that of the ideal queue.
 struct ResponseRatio {
@@ -72,6 +79,9 @@
 struct FairnessFigures {
   double P99AloneMs = 0;
   double P99FloodedMs = 0;
+  /// Mean response in the first 30 s of the flood over that without it. All
+  /// teams start with their saved quota.
+  double OnsetRatio = 0;
 };
 
 /// A team at 90 % of its quota of a tenth, while another sends 10 times its
