Compare a declaration with all earlier ones, not only the last

Cause: with three declarations of a service, of which the middle one leaves an objective out, the third one was compared with the middle one only, so that its contradiction with the first went unseen and the third silently won. Ruled out: comparing with the merged fields, because adjustments are meant to differ from declarations. Change: the merge keeps the declarations in force, at most one for each set of fields, and compares a new one with each of them. The fuzz target also merges two files.

--- a/src/configuration/internal/merge.cpp
+++ b/src/configuration/internal/merge.cpp
@@ -1,8 +1,10 @@
 #include "configuration/servicefiles.h"
 
+#include <algorithm>
 #include <optional>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace sapphiremoor {
 
@@ -54,14 +56,35 @@
   take(Target.Availability, Later.Availability);
   take(Target.Latency, Later.Latency);
   take(Target.LatencyShare, Later.LatencyShare);
-  Target.Place = Later.Place;
 }
 
 void overlay(TeamEntry &Target, const TeamEntry &Later) {
   take(Target.Share, Later.Share);
-  Target.Place = Later.Place;
 }
 
+/// Returns one bit for each field that \p Entry sets.
+unsigned fieldsOf(const ServiceEntry &Entry) {
+  unsigned Bits = 0;
+  for (const bool IsSet :
+       {Entry.Idempotent.has_value(), Entry.Preference.has_value(),
+        Entry.DeclaredRunTime.has_value(), Entry.Availability.has_value(),
+        Entry.Latency.has_value(), Entry.LatencyShare.has_value()})
+    Bits = Bits * 2 + (IsSet ? 1 : 0);
+  return Bits;
+}
+
+unsigned fieldsOf(const TeamEntry &Entry) { return Entry.Share ? 1 : 0; }
+
+/// The merge of one service or team so far.
+template <typename Entry> struct MergedEntry {
+  Entry Fields;
+  /// The last entry merged.
+  const Entry *Last = nullptr;
+  /// The declarations in force, which agree with each other. Of those that set
+  /// the same fields only the first is kept, which bounds their number.
+  std::vector<const Entry *> Declared;
+};
+
 /// Merges the entries of one kind ("service" or "team") over all files.
 template <typename Entry> class EntryMerger {
 public:
@@ -70,43 +93,59 @@
   /// Adds the entries of the next file.
   void add(const std::map<std::string, Entry> &Entries) {
     for (const auto &[Name, Fields] : Entries) {
+      MergedEntry<Entry> &Target = Merged[Name];
       if (isDeclaration(Fields))
-        declare(Name, Fields);
-      overlay(Merged[Name], Fields);
+        declare(Name, Fields, Target.Declared);
+      overlay(Target.Fields, Fields);
+      Target.Last = &Fields;
     }
   }
 
-  const std::map<std::string, Entry> &merged() const { return Merged; }
+  const std::map<std::string, MergedEntry<Entry>> &merged() const {
+    return Merged;
+  }
   const std::optional<Error> &failure() const { return Failure; }
 
 private:
-  void declare(const std::string &Name, const Entry &Fields) {
-    const Entry *&InForce = Declared[Name];
-    const std::string Field = InForce == nullptr || Fields.Override
-                                  ? std::string()
-                                  : differingField(*InForce, Fields);
+  void declare(const std::string &Name, const Entry &Fields,
+               std::vector<const Entry *> &Declared) {
+    if (Fields.Override)
+      Declared.clear();
+    for (const Entry *Earlier : Declared)
+      compare(Name, *Earlier, Fields);
+    const bool IsNew =
+        std::ranges::none_of(Declared, [&Fields](const Entry *Earlier) {
+          return fieldsOf(*Earlier) == fieldsOf(Fields);
+        });
+    if (IsNew)
+      Declared.push_back(&Fields);
+  }
+
+  void compare(const std::string &Name, const Entry &Earlier,
+               const Entry &Later) {
+    const std::string Field = differingField(Earlier, Later);
     if (!Field.empty() && !Failure)
       Failure = Error{ErrorKind::Contradiction,
-                      Fields.Place + ": " + Kind + " \"" + Name + "\" sets \"" +
-                          Field + "\" to another value than " + InForce->Place +
+                      Later.Place + ": " + Kind + " \"" + Name + "\" sets \"" +
+                          Field + "\" to another value than " + Earlier.Place +
                           " does",
                       "make the two equal, or add \"override\": true to the "
                       "later one"};
-    InForce = &Fields;
   }
 
   std::string Kind;
-  std::map<std::string, Entry> Merged;
-  std::map<std::string, const Entry *> Declared;
+  std::map<std::string, MergedEntry<Entry>> Merged;
   std::optional<Error> Failure;
 };
 
-Result<ServiceSettings> completeService(const std::string &Name,
-                                        const ServiceEntry &Entry) {
+Result<ServiceSettings>
+completeService(const std::string &Name,
+                const MergedEntry<ServiceEntry> &Merge) {
+  const ServiceEntry &Entry = Merge.Fields;
   const auto Missing = [&](const std::string &Field) {
     return Error{ErrorKind::MissingKey,
-                 Entry.Place + ": service \"" + Name + "\" has no \"" + Field +
-                     "\" in any file",
+                 Merge.Last->Place + ": service \"" + Name + "\" has no \"" +
+                     Field + "\" in any file",
                  "add \"" + Field + "\" to the service"};
   };
   if (!Entry.Idempotent)
@@ -149,7 +188,7 @@
     Config.Services[Name] = takeValue(std::move(Service));
   }
   for (const auto &[Name, Entry] : Teams.merged())
-    Config.Teams[Name] = TeamSettings{Entry.Share.value_or(1)};
+    Config.Teams[Name] = TeamSettings{Entry.Fields.Share.value_or(1)};
   return Config;
 }
 
--- a/src/configuration/internal/settingsreader.cpp
+++ b/src/configuration/internal/settingsreader.cpp
@@ -109,7 +109,8 @@
 }
 
 void SettingsReader::readPeer(const JsonNode &Node, const std::string &Path) {
-  if (!Reader.isObject(Node, Path, {"name", "data_centre", "address", "port", "http"}))
+  if (!Reader.isObject(Node, Path,
+                       {"name", "data_centre", "address", "port", "http"}))
     return;
   PeerSettings Peer;
   if (const JsonNode *Name = Reader.require(Node, Path, "name"))
--- a/src/configuration/servicefiles.h
+++ b/src/configuration/servicefiles.h
@@ -42,10 +42,11 @@
 /// A file *declares* a service if it sets all of "idempotent", "weight" and
 /// "declared_ms"; it declares a team if it sets "share". A file that sets fewer
 /// fields *adjusts* the service. Each field takes the value of the last file
-/// that sets it. Two declarations of one service or team must agree: if a later
-/// declaration sets a field to another value than the declaration in force
-/// does, the result is a Contradiction that names both files, unless the later
-/// one says "override": true, which makes it the declaration in force.
+/// that sets it. All declarations of one service or team must agree: if a later
+/// declaration sets a field to another value than an earlier one, the result is
+/// a Contradiction that names both files, unless the later one says
+/// "override": true. Declarations after that one must agree with it, and no
+/// longer with those before it.
 /// Adjustments never contradict anything, and "override" has no effect on them.
 ///
 /// After the merge every service must have the three fields (MissingKey) and
--- a/src/configuration/tests/fuzzsettings.cpp
+++ b/src/configuration/tests/fuzzsettings.cpp
@@ -2,6 +2,7 @@
 #include "configuration/servicefiles.h"
 #include "configuration/settingsfile.h"
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <cstdlib>
@@ -25,6 +26,12 @@
   checkError(sapphiremoor::parseSettings(Text, "vm.json"), "vm.json:");
   checkError(sapphiremoor::parseServiceFile(Text, "a.json"), "a.json");
   static_cast<void>(sapphiremoor::decodeState(Text));
+  // Two files, separated by the first zero byte, that may contradict.
+  const std::size_t Split = std::min(Text.find('\0'), Text.size());
+  const std::string First(Text.substr(0, Split));
+  const std::string Second(Text.substr(std::min(Split + 1, Text.size())));
+  static_cast<void>(sapphiremoor::mergeConfiguration(
+      {{"a.json", First}, {"b.json", Second}}));
   return 0;
 }
 
--- a/src/configuration/tests/servicefiles_test.cpp
+++ b/src/configuration/tests/servicefiles_test.cpp
@@ -81,6 +81,15 @@
                 "30.json:1:15: service \"quote\" sets \"declared_ms\" to "
                 "another value than 20.json:1:15 does",
                 Remedy);
+  const std::string Objective = "200, \"objectives\": {\"latency_ms\": 1}";
+  const std::string Tighter = "200, \"objectives\": {\"latency_ms\": 2}";
+  checkRejected({{"10.json", replaced("200", Objective)},
+                 {"20.json", Quote},
+                 {"30.json", replaced("200", Tighter)}},
+                ErrorKind::Contradiction,
+                "30.json:1:15: service \"quote\" sets "
+                "\"objectives.latency_ms\" to another value than 10.json:1:15",
+                Remedy);
   checkRejected({{"10.json", R"({"teams": {"a": {"share": 1}}})"},
                  {"20.json", R"({"teams": {"a": {"share": 2}}})"},
                  {"30.json", Quote}},
