--- a/src/app/internal/configcommands.cpp
+++ b/src/app/internal/configcommands.cpp
@@ -215,6 +215,81 @@
   });
 }
 
+ExitCode changeVoter(const std::string &Name, bool Remove,
+                     const ClientOptions &Common) {
+  const Result<Client> Sender = Client::open(Common);
+  if (isError(Sender))
+    return report(errorOf(Sender));
+  HttpCallRequest Request;
+  Request.Method = Remove ? HttpMethod::Delete : HttpMethod::Post;
+  Request.Path = "/v1/config/voters/" + Name;
+  const Result<HttpCallResult> Answer =
+      callUntilDecided(valueOf(Sender), Request);
+  if (isError(Answer))
+    return report(errorOf(Answer));
+  if (valueOf(Answer).Code != 200)
+    return reportAnswer(valueOf(Answer));
+  std::cout << Name << (Remove ? ": no voter any longer\n" : ": votes\n");
+  return ExitCode::Done;
+}
+
+ExitCode showVoters(const ClientOptions &Common) {
+  const Result<Client> Sender = Client::open(Common);
+  if (isError(Sender))
+    return report(errorOf(Sender));
+  const Result<Json> Body = fetchJson(valueOf(Sender), "/v1/status");
+  if (isError(Body))
+    return report(errorOf(Body));
+  const Json Replica = valueOf(Body).value("replica", Json());
+  if (!Replica.is_object())
+    return report({ErrorKind::BadRequest, "this VM has no disk",
+                   "name a VM with a data folder with --to"});
+  std::cout << Replica.dump(2) << "\n";
+  return ExitCode::Done;
+}
+
+/// Exchanges the identity of a voter that lost its disk. The old identity goes
+/// first, so that the set never holds two voters for one VM.
+ExitCode replaceVoter(const std::string &Name, const ClientOptions &Common) {
+  const ExitCode Removed = changeVoter(Name, true, Common);
+  return Removed == ExitCode::Done ? changeVoter(Name, false, Common) : Removed;
+}
+
+void addVoterChange(CLI::App &Parent, Action &Chosen, const std::string &Name,
+                    const std::string &Help,
+                    ExitCode (*Run)(const std::string &,
+                                    const ClientOptions &)) {
+  CLI::App *Command = Parent.add_subcommand(Name, Help);
+  auto Vm = std::make_shared<std::string>();
+  Command->add_option("vm", *Vm, "Name of the VM")->required();
+  const auto Common = addClientOptions(*Command);
+  Command->callback([&Chosen, Vm, Common, Run] {
+    Chosen = [=] { return Run(*Vm, *Common); };
+  });
+}
+
+void addVoterCommands(CLI::App &Parent, Action &Chosen) {
+  CLI::App *Voters = Parent.add_subcommand(
+      "voters", "Show and change the VMs that decide changes.");
+  Voters->require_subcommand(1);
+  CLI::App *Show =
+      Voters->add_subcommand("show", "Show the replica of a VM with a disk.");
+  const auto Common = addClientOptions(*Show);
+  Show->callback(
+      [&Chosen, Common] { Chosen = [=] { return showVoters(*Common); }; });
+  addVoterChange(*Voters, Chosen, "add", "Let a VM vote that has caught up.",
+                 [](const std::string &Name, const ClientOptions &Options) {
+                   return changeVoter(Name, false, Options);
+                 });
+  addVoterChange(*Voters, Chosen, "remove", "Take the vote from a VM.",
+                 [](const std::string &Name, const ClientOptions &Options) {
+                   return changeVoter(Name, true, Options);
+                 });
+  addVoterChange(*Voters, Chosen, "replace",
+                 "Exchange a voter that came back with an empty disk.",
+                 replaceVoter);
+}
+
 void addCheckCommand(CLI::App &Parent, Action &Chosen) {
   CLI::App *Command = Parent.add_subcommand(
       "check", "Check a folder of files, or the settings of a VM.");
--- a/src/app/internal/operatorcommands.cpp
+++ b/src/app/internal/operatorcommands.cpp
@@ -1,10 +1,13 @@
 #include "app/client.h"
 #include "app/commands.h"
 #include "app/table.h"
+#include "servicelevel/burn.h"
+#include "servicelevel/render.h"
 
 #include <CLI/CLI.hpp>
 #include <nlohmann/json.hpp>
 
+#include <fstream>
 #include <iostream>
 
 namespace sapphiremoor {
@@ -84,6 +87,54 @@
   return ExitCode::Done;
 }
 
+/// Fetches the reports of all given VMs and adds them up.
+Result<BurnReport> fetchReports(const ClientOptions &Common) {
+  std::vector<BurnReport> Reports;
+  for (const std::string &Vm : Common.To) {
+    ClientOptions One = Common;
+    One.To = {Vm};
+    const Result<HttpCallResult> Answer =
+        callOperator(One, HttpMethod::Get, "/v1/burn");
+    if (isError(Answer))
+      return errorOf(Answer);
+    Result<BurnReport> Report = parseReport(valueOf(Answer).Body);
+    if (isError(Report))
+      return Error{ErrorKind::Unauthorized, Vm + " gave no report",
+                   "check that the token is that of an operator"};
+    Reports.push_back(takeValue(std::move(Report)));
+  }
+  return mergeReports(Reports);
+}
+
+ExitCode reportBurn(const std::string &SvgFile, const ClientOptions &Common) {
+  const Result<BurnReport> Report = fetchReports(Common);
+  if (isError(Report))
+    return report(errorOf(Report));
+  if (!SvgFile.empty()) {
+    std::ofstream File(SvgFile);
+    File << renderSvg(valueOf(Report));
+    if (!File.flush())
+      return report({ErrorKind::BadRequest, "cannot write " + SvgFile,
+                     "name a file in a folder that can be written"});
+  }
+  std::cout << (Common.Json ? renderJson(valueOf(Report))
+                            : renderTable(valueOf(Report)));
+  return ExitCode::Done;
+}
+
+void addReportCommand(CLI::App &Root, Action &Chosen) {
+  CLI::App *Parent = Root.add_subcommand("report", "Reports for operators.");
+  Parent->require_subcommand(1);
+  CLI::App *Command = Parent->add_subcommand(
+      "burn", "Service-level burn rates, added up over all VMs of --to.");
+  auto SvgFile = std::make_shared<std::string>();
+  Command->add_option("--svg", *SvgFile, "Also write a plot to this file");
+  const auto Common = addClientOptions(*Command);
+  Command->callback([&Chosen, SvgFile, Common] {
+    Chosen = [=] { return reportBurn(*SvgFile, *Common); };
+  });
+}
+
 void addDrainCommand(CLI::App &Root, Action &Chosen) {
   CLI::App *Command = Root.add_subcommand(
       "drain", "Stop new work for a backend server; it finishes its tasks.");
@@ -123,6 +174,7 @@
   Status->callback(
       [&Chosen, Common] { Chosen = [=] { return status(*Common); }; });
   addDrainCommand(Root, Chosen);
+  addReportCommand(Root, Chosen);
 }
 
 } // namespace sapphiremoor
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -8,6 +8,7 @@
 #include "daemon/jobexecutor.h"
 #include "daemon/jobrouter.h"
 #include "daemon/membershipservice.h"
+#include "daemon/outcomerecorder.h"
 #include "daemon/peerbus.h"
 #include "daemon/replicaservice.h"
 
@@ -46,6 +47,7 @@
   /// Absent on a VM without a disk.
   std::unique_ptr<ReplicaService> Replica;
   ConfigService Config;
+  OutcomeRecorder Outcomes;
   HttpApi Api;
   Timer DrainCheck;
   int QuietChecks = 0;
--- a/src/daemon/httpapi.h
+++ b/src/daemon/httpapi.h
@@ -4,6 +4,7 @@
 #include "daemon/backendregistry.h"
 #include "daemon/configservice.h"
 #include "daemon/jobrouter.h"
+#include "daemon/outcomerecorder.h"
 #include "daemon/statusreport.h"
 #include "framework/metrics/registry.h"
 #include "framework/net/httpserver.h"
@@ -24,6 +25,7 @@
     ConfigService &Config;
     MembershipService &Membership;
     Registry &Metrics;
+    OutcomeRecorder &Outcomes;
     StatusSources Status;
   };
 
@@ -63,6 +65,8 @@
   void reject(const Responder &Answer, const Error &Reason);
   Result<JobKey> keyOf(const Call &From, const std::string &Text) const;
   Result<JobRequest> jobOf(const Call &From, bool Single) const;
+  /// Returns a handler that counts the outcome of \p Job and answers \p From.
+  JobReplyHandler recording(const JobRequest &Job, JobReplyHandler Answering);
   /// Returns a handler that answers \p From, with 202 once \p Wait is over.
   JobReplyHandler answering(const Call &From, const std::string &Key,
                             std::optional<Duration> Wait);
--- a/src/daemon/internal/daemon.cpp
+++ b/src/daemon/internal/daemon.cpp
@@ -28,12 +28,9 @@
       Replica(Of.DataFolder ? std::make_unique<ReplicaService>(Loop, Of, Bus)
                             : nullptr),
       Config(Loop, Of, Bus, Membership, Replica.get()),
+      Outcomes(Of.Name, Metrics),
       Api(Loop, Of, std::move(Tokens), ClusterKey,
-          {Router,
-           Backends,
-           Config,
-           Membership,
-           Metrics,
+          {Router, Backends, Config, Membership, Metrics, Outcomes,
            {Membership, Config, Backends.table(), Executor, Router}}),
       DrainCheck(Loop, [this] { checkDrained(); }) {}
 
--- a/src/daemon/internal/httpapi.cpp
+++ b/src/daemon/internal/httpapi.cpp
@@ -6,6 +6,7 @@
 #include "gateway/answerformat.h"
 #include "gateway/route.h"
 #include "leases/parseannouncement.h"
+#include "servicelevel/render.h"
 
 #include <nlohmann/json.hpp>
 
@@ -118,6 +119,20 @@
   };
 }
 
+JobReplyHandler HttpApi::recording(const JobRequest &Job,
+                                   JobReplyHandler Answering) {
+  JobRequest Counted;
+  Counted.Team = Job.Team;
+  Counted.Service = Job.Service;
+  return [this, Counted = std::move(Counted), Since = Loop.now(),
+          Answering = std::move(Answering)](const JobReplyBody &Body) {
+    const Instant Now = Loop.now();
+    Parts.Outcomes.record(Counted, Body, Parts.Config.config(), Now - Since,
+                          Now);
+    Answering(Body);
+  };
+}
+
 void HttpApi::perform(const Call &From, const IssuePrefixCommand &) {
   if (Parts.Membership.draining()) {
     reject(From.Answer, {ErrorKind::Draining, "this VM is being stopped",
@@ -144,8 +159,9 @@
     reject(From.Answer, errorOf(Job));
     return;
   }
-  Parts.Router.submit(valueOf(Key), valueOf(Job),
-                      answering(From, What.Key, What.Wait));
+  Parts.Router.submit(
+      valueOf(Key), valueOf(Job),
+      recording(valueOf(Job), answering(From, What.Key, What.Wait)));
 }
 
 void HttpApi::perform(const Call &From, const RunIdempotentCommand &) {
@@ -162,7 +178,8 @@
             "/v1/requests/PREFIX.NUMBER"});
     return;
   }
-  Parts.Router.run(valueOf(Job), answering(From, "", std::nullopt));
+  Parts.Router.run(valueOf(Job),
+                   recording(valueOf(Job), answering(From, "", std::nullopt)));
 }
 
 void HttpApi::perform(const Call &From, const FetchCommand &What) {
@@ -194,9 +211,13 @@
   From.Answer.respond({200, Parts.Metrics.text(), "text/plain; version=0.0.4"});
 }
 
-void HttpApi::perform(const Call &From, const ShowBurnCommand &) {
-  reject(From.Answer, {ErrorKind::NotFound, "the report is not built yet",
-                       "use a later version"});
+void HttpApi::perform(const Call &From, const ShowBurnCommand &What) {
+  const BurnReport Report =
+      Parts.Outcomes.report(Parts.Config.config(), Loop.now());
+  if (What.Format == "svg")
+    From.Answer.respond({200, renderSvg(Report), "image/svg+xml"});
+  else
+    From.Answer.respond({200, renderJson(Report), "application/json"});
 }
 
 void HttpApi::perform(const Call &From, const ShowConfigCommand &What) {
--- a/src/daemon/internal/replicaservice.cpp
+++ b/src/daemon/internal/replicaservice.cpp
@@ -76,9 +76,9 @@
             return;
           for (const StorageReply &Reply : Replies) {
             if (isError(Reply.Outcome))
-              logEvent(events::StorageFailed,
-                       {{"error", describe(errorOf(Reply.Outcome))}});
-            handle(eventFor(Reply));
+              lose(errorOf(Reply.Outcome));
+            else
+              handle(eventFor(Reply));
           }
         });
       });
@@ -169,7 +169,9 @@
     Calls.Apply(Committed->Index, Committed->Bytes);
   } else if (const auto *Installed = std::get_if<InstallSnapshot>(&Effect)) {
     AppliedIndex = Installed->Index;
-    Calls.Install(Installed->Bytes);
+    const Result<Done> Taken = Calls.Install(Installed->Bytes);
+    if (isError(Taken))
+      lose(errorOf(Taken));
   } else if (const auto *Proposed = std::get_if<ProposeResult>(&Effect)) {
     finishProposal(*Proposed);
   } else if (const auto *Leading = std::get_if<BecameLeader>(&Effect)) {
@@ -178,6 +180,11 @@
   }
 }
 
+void ReplicaService::lose(const Error &Reason) {
+  logEvent(events::StorageFailed, {{"error", describe(Reason)}});
+  handle(StorageLost{});
+}
+
 void ReplicaService::finishProposal(const ProposeResult &Result) {
   auto Found = Proposals.extract(Result.RequestNumber);
   if (!Found.empty())
--- /dev/null
+++ b/src/daemon/outcomerecorder.h
@@ -0,0 +1,36 @@
+#ifndef SAPPHIREMOOR_DAEMON_OUTCOMERECORDER_H
+#define SAPPHIREMOOR_DAEMON_OUTCOMERECORDER_H
+
+#include "configuration/types/serviceconfig.h"
+#include "daemon/types/peermessage.h"
+#include "framework/metrics/registry.h"
+#include "servicelevel/types/burnreport.h"
+#include "servicelevel/types/servicelevelstate.h"
+
+#include <string>
+
+namespace sapphiremoor {
+
+/// Counts the outcomes that this VM has told callers, for the service-level
+/// report and the metrics.
+class OutcomeRecorder {
+public:
+  OutcomeRecorder(std::string VmName, Registry &Metrics);
+
+  /// Counts the answer to one request. Errors that say nothing about a key are
+  /// no outcome and are not counted.
+  void record(const JobRequest &Job, const JobReplyBody &Body,
+              const ServiceConfig &Config, Duration Latency, Instant Now);
+
+  /// The burn report of this VM.
+  BurnReport report(const ServiceConfig &Config, Instant Now) const;
+
+private:
+  std::string VmName;
+  Registry &Metrics;
+  ServiceLevelState State;
+};
+
+} // namespace sapphiremoor
+
+#endif // SAPPHIREMOOR_DAEMON_OUTCOMERECORDER_H
--- a/src/daemon/replicaservice.h
+++ b/src/daemon/replicaservice.h
@@ -22,7 +22,9 @@
 public:
   struct Callbacks {
     std::function<void(uint64_t Index, const std::string &Bytes)> Apply;
-    std::function<void(const std::string &Bytes)> Install;
+    /// An error means that the snapshot is damaged; the replica then counts as
+    /// lost.
+    std::function<Result<Done>(const std::string &Bytes)> Install;
     /// Returns the state to put into a snapshot.
     std::function<std::string()> Snapshot;
   };
@@ -48,6 +50,8 @@
   void handle(const ReplicaEvent &Event);
   void run(const std::vector<ReplicaEffect> &Effects);
   void run(const ReplicaEffect &Effect);
+  /// Stops voting, acknowledging and leading: this copy is lost.
+  void lose(const Error &Reason);
   void finishProposal(const ProposeResult &Result);
   void receivedStatus(const VmId &From, const VoterStatus &Status);
   void tryForm();
