Reserve the list of limit names

Cause: clang-tidy reports a vector that grows in a loop. Ruled out: a suppression, because the size is known. Change: reserve before the loop.

--- a/src/configuration/internal/limitsreader.cpp
+++ b/src/configuration/internal/limitsreader.cpp
@@ -45,6 +45,7 @@
 
 std::vector<std::string> ruleNames() {
   std::vector<std::string> Names;
+  Names.reserve(Rules.size());
   for (const LimitRule &Rule : Rules)
     Names.emplace_back(Rule.Name);
   return Names;
