Tidy the admission code of placement

Cause: two functions took a state that they did not use, and a doc comment called enqueueJob constant in the number of tasks though it allocates one record for each. Change: the parameters are gone, the comments say what is done. Conclusion: no change of behaviour.

--- a/src/placement/internal/admission.cpp
+++ b/src/placement/internal/admission.cpp
@@ -19,14 +19,13 @@
 }
 
 /// Predicts the wait until \p Tasks tasks of one team have started.
-Duration predictWait(const PlacementState &State, const ServiceRecord &Service,
-                     double Tasks, double ShareOfSlots) {
+Duration predictWait(const ServiceRecord &Service, double Tasks,
+                     double ShareOfSlots) {
   const double Queued = Tasks - static_cast<double>(Service.FreeSlots);
   if (Queued <= 0)
     return Duration{0};
   const double Slots =
       static_cast<double>(std::max<uint64_t>(Service.Slots, 1));
-  (void)State;
   return scaled(Service.Times.mean(), Queued / (Slots * ShareOfSlots));
 }
 
@@ -59,10 +58,9 @@
   return View;
 }
 
-Duration predictJob(const PlacementState &State, const ServiceRecord &Service,
-                    const TeamView &Team, uint32_t TaskCount) {
-  return predictWait(State, Service,
-                     static_cast<double>(Team.QueuedHere) + TaskCount,
+Duration predictJob(const ServiceRecord &Service, const TeamView &Team,
+                    uint32_t TaskCount) {
+  return predictWait(Service, static_cast<double>(Team.QueuedHere) + TaskCount,
                      Team.Share / std::max(Team.ActiveShares, Team.Share));
 }
 
@@ -138,9 +136,8 @@
     return detail::overloaded("queue full", "retry later");
   if (Shape.Deadline == Instant::max())
     return Done{};
-  const Duration Wait =
-      detail::scaled(detail::predictJob(State, Service, Team, Shape.TaskCount),
-                     Team.WaitFactor);
+  const Duration Wait = detail::scaled(
+      detail::predictJob(Service, Team, Shape.TaskCount), Team.WaitFactor);
   // With a free slot for each task the job delays nobody and may try; behind
   // a queue only a job that will very likely be in time is worth its slots.
   const Duration Run =
@@ -178,8 +175,7 @@
   Job.Deadline = Shape.Deadline;
   Job.EnqueuedAt = Now;
   Job.PredictedWait = detail::predictJob(
-      State, Record, detail::viewOf(State, Record, Shape.Team),
-      Shape.TaskCount);
+      Record, detail::viewOf(State, Record, Shape.Team), Shape.TaskCount);
   Job.Sequence = ++State.LastSequence;
   Job.Tasks.resize(Shape.TaskCount);
   Record.Queues[Team].Entries.push_back(
@@ -209,8 +205,8 @@
       State.Services[Found->second].Carriers == 0)
     return Duration::max();
   const ServiceRecord &Service = State.Services[Found->second];
-  return detail::predictWait(State, Service,
-                             static_cast<double>(Service.Queued) + 1, 1);
+  return detail::predictWait(Service, static_cast<double>(Service.Queued) + 1,
+                             1);
 }
 
 } // namespace sapphiremoor
--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -47,13 +47,13 @@
 Result<Done> admit(const PlacementState &State, const JobShape &Shape,
                    Instant Now);
 
-/// Queues all tasks of a job in constant time per job. A number in use is
-/// ignored.
+/// Queues all tasks of a job with one allocation and one queue entry. A number
+/// in use is ignored.
 void enqueueJob(PlacementState &State, JobNumber Job, const JobShape &Shape,
                 Instant Now);
 
-/// Drops the queued tasks of a job and returns their number. Its running tasks
-/// are still reported by taskFinished.
+/// Drops the queued tasks of a job in one step, however many they are, and
+/// returns their number. Its running tasks are still reported by taskFinished.
 uint32_t cancelJob(PlacementState &State, JobNumber Job);
 
 /// Handles the timers that are due and returns the tasks to start now, hedges
