--- a/src/app/internal/configcommands.cpp
+++ b/src/app/internal/configcommands.cpp
@@ -319,6 +319,7 @@
   addCheckCommand(*Parent, Chosen);
   addChangeCommand(*Parent, Chosen, false);
   addChangeCommand(*Parent, Chosen, true);
+  addVoterCommands(*Parent, Chosen);
   CLI::App *Show = Parent->add_subcommand("show", "Print the files in force.");
   const auto ShowOptions = addClientOptions(*Show);
   Show->callback(
--- a/src/daemon/configservice.h
+++ b/src/daemon/configservice.h
@@ -53,6 +53,7 @@
               ChangeHandler Handler);
   std::optional<VmId> leaderOrVoter() const;
   void applied(uint64_t Index, const std::string &Bytes);
+  Result<Done> install(const std::string &Bytes);
   void adopt(const ConfigChunk &Chunk);
   void noteInForce(uint64_t Before);
   void expireProposals();
--- a/src/daemon/internal/configservice.cpp
+++ b/src/daemon/internal/configservice.cpp
@@ -64,19 +64,24 @@
   Expiry.startPeriodic(ExpiryPeriod);
   if (Replica == nullptr)
     return Done{};
-  return Replica->start({[this](uint64_t Index, const std::string &Bytes) {
-                           applied(Index, Bytes);
-                         },
-                         [this](const std::string &Bytes) {
-                           const uint64_t Before = revision();
-                           Result<ConfigState> Decoded = decodeState(Bytes);
-                           // The first snapshot of a new cluster is empty.
-                           Logged = isError(Decoded)
-                                        ? ConfigState()
-                                        : takeValue(std::move(Decoded));
-                           noteInForce(Before);
-                         },
-                         [this] { return encodeState(Logged); }});
+  return Replica->start(
+      {[this](uint64_t Index, const std::string &Bytes) {
+         applied(Index, Bytes);
+       },
+       [this](const std::string &Bytes) { return install(Bytes); },
+       [this] { return encodeState(Logged); }});
+}
+
+Result<Done> ConfigService::install(const std::string &Bytes) {
+  const uint64_t Before = revision();
+  // The first snapshot of a new cluster is empty.
+  Result<ConfigState> Decoded =
+      Bytes.empty() ? Result<ConfigState>(ConfigState()) : decodeState(Bytes);
+  if (isError(Decoded))
+    return errorOf(Decoded);
+  Logged = takeValue(std::move(Decoded));
+  noteInForce(Before);
+  return Done{};
 }
 
 const ConfigState &ConfigService::state() const {
@@ -205,7 +210,9 @@
 void ConfigService::adopt(const ConfigChunk &Chunk) {
   const uint64_t Before = revision();
   const Result<Done> Taken = adoptChunk(Adopted, Chunk);
-  if (!isError(Taken))
+  if (isError(Taken))
+    logEvent(events::ChunkRejected, {{"error", describe(errorOf(Taken))}});
+  else
     noteInForce(Before);
 }
 
--- a/src/daemon/internal/daemon.cpp
+++ b/src/daemon/internal/daemon.cpp
@@ -30,7 +30,12 @@
       Config(Loop, Of, Bus, Membership, Replica.get()),
       Outcomes(Of.Name, Metrics),
       Api(Loop, Of, std::move(Tokens), ClusterKey,
-          {Router, Backends, Config, Membership, Metrics, Outcomes,
+          {Router,
+           Backends,
+           Config,
+           Membership,
+           Metrics,
+           Outcomes,
            {Membership, Config, Backends.table(), Executor, Router}}),
       DrainCheck(Loop, [this] { checkDrained(); }) {}
 
@@ -44,6 +49,10 @@
   Router.start();
   Backends.start(
       [this](const std::string &Id) { Executor.backendChanged(Id); });
+  Membership.onDispatcherChange([this](const VmId &) {
+    if (Membership.dispatching())
+      Executor.tookOver();
+  });
   return Config.start(
       [this](const ServiceConfig &InForce) { Executor.configure(InForce); });
 }
--- a/src/daemon/internal/jobexecutor.cpp
+++ b/src/daemon/internal/jobexecutor.cpp
@@ -78,6 +78,8 @@
   schedulePump();
 }
 
+void JobExecutor::tookOver() { distrustSlots(State, Loop.now()); }
+
 JobShape JobExecutor::shapeOf(const JobRequest &Job) const {
   return {Job.Team, Job.Service, static_cast<uint32_t>(Job.Tasks.size()),
           Loop.now() + Duration(Job.DeadlineMicros), Job.Single};
--- a/src/daemon/jobexecutor.h
+++ b/src/daemon/jobexecutor.h
@@ -42,6 +42,10 @@
   /// The standing of a backend server has changed.
   void backendChanged(const std::string &Id);
 
+  /// This VM has become the dispatcher: the slots may still be busy with the
+  /// tasks of its predecessor.
+  void tookOver();
+
   /// Returns whether a job can be run in time. Errors: Impossible, Overloaded.
   Result<Done> admitJob(const JobRequest &Job) const;
 
--- a/src/framework/eventlog/event.h
+++ b/src/framework/eventlog/event.h
@@ -39,6 +39,7 @@
 inline constexpr Event ChangeInForce{502, Level::Info, "change_in_force"};
 inline constexpr Event StorageFailed{503, Level::Error, "storage_failed"};
 inline constexpr Event LogRecovered{504, Level::Info, "log_recovered"};
+inline constexpr Event ChunkRejected{505, Level::Warning, "chunk_rejected"};
 } // namespace events
 
 /// All events, in the order of their numbers.
--- a/src/framework/eventlog/internal/eventlog.cpp
+++ b/src/framework/eventlog/internal/eventlog.cpp
@@ -39,7 +39,7 @@
     events::PrefixSealed,   events::RequestRejected,
     events::LeaderElected,  events::ChangeAccepted,
     events::ChangeInForce,  events::StorageFailed,
-    events::LogRecovered};
+    events::LogRecovered,   events::ChunkRejected};
 
 } // namespace
 
