Tell a sealed prefix from a voided key; order keys by what differs

Cause: a sealed issuer answered "refused", so that a caller would try number after number of a prefix that grants none. Keys were compared by team and members first, which are mostly equal; parsing a key computed its code twice. Ruled out: a void for each ungranted key of a sealed prefix; the seal already says it and needs no memory. Change: the verdict Sealed leads to the reason prefix_sealed, whose detail names POST /v1/prefixes; keys compare number, sequence and issuer first; the check for one text form compares the fields; the model follows. Conclusion: the reason tells a caller whether a new number is enough.

--- a/spec/claims.pml
+++ b/spec/claims.pml
@@ -264,7 +264,7 @@
   if
   :: x == ISSUER && voided[x] -> finishNotRun(x)
   :: x == ISSUER && !voided[x] && held[x] == NOBODY && SEALED(x) ->
-     voided[x] = true; finishNotRun(x)
+     finishNotRun(x)
   :: x == ISSUER && !voided[x] && held[x] == NOBODY && !SEALED(x) ->
      held[x] = x; issuerGranted(x)
   :: x == ISSUER && held[x] == x -> issuerGranted(x)
@@ -333,8 +333,8 @@
   :: voided[ISSUER] -> grantReply[x] = grantReply[x] | REPLY_VOID
   :: !voided[ISSUER] && held[ISSUER] != NOBODY ->
      grantReply[x] = grantReply[x] | BIT(held[ISSUER])
+  /* GrantVerdict::Sealed; it means the same as Void. */
   :: !voided[ISSUER] && held[ISSUER] == NOBODY && SEALED(ISSUER) ->
-     voided[ISSUER] = true;
      grantReply[x] = grantReply[x] | REPLY_VOID
   :: !voided[ISSUER] && held[ISSUER] == NOBODY && !SEALED(ISSUER) ->
      held[ISSUER] = x;
--- a/src/claims/claims.h
+++ b/src/claims/claims.h
@@ -30,8 +30,8 @@
 };
 
 /// What forwardJob() found. If Known is set, it is a PassToExecutor to another
-/// VM than intended, a JoinJob or a Decide, and nothing must be forwarded to
-/// the intended executor.
+/// VM than intended (perhaps this one), a JoinJob or a Decide, and nothing must
+/// be forwarded to the intended executor.
 struct ForwardResult {
   std::optional<ProvisionalHold> Hold;
   std::optional<ClaimEffect> Known;
--- a/src/claims/internal/claims.cpp
+++ b/src/claims/internal/claims.cpp
@@ -47,6 +47,8 @@
     detail::finishUnknown(S, Claim, "key_too_old", RetryAdvice::None);
   else if (Verdict.Verdict == GrantVerdict::Void)
     detail::finishNotRun(S, Claim, "refused");
+  else if (Verdict.Verdict == GrantVerdict::Sealed)
+    detail::finishNotRun(S, Claim, "prefix_sealed");
   else if (!detail::finishIfConflict(S, Claim, Verdict.Digest) &&
            Verdict.Executor != Executor)
     detail::finishPass(S, Claim, Verdict.Executor);
--- a/src/claims/internal/grantsteps.cpp
+++ b/src/claims/internal/grantsteps.cpp
@@ -90,6 +90,8 @@
                             Verdict.Digest);
   case GrantVerdict::Void:
     return finishNotRun(S, Claim, "refused");
+  case GrantVerdict::Sealed:
+    return finishNotRun(S, Claim, "prefix_sealed");
   case GrantVerdict::NotGranted:
     return finishUnknown(S, Claim, "not_submitted", RetryAdvice::SameKey);
   case GrantVerdict::TooOld:
--- a/src/claims/internal/keytext.cpp
+++ b/src/claims/internal/keytext.cpp
@@ -162,8 +162,9 @@
                          All.substr(Fields.size())))
     return badKey("the key's prefix is not one that this cluster issued");
   const std::optional<Prefix> Value = readFields(Fields);
-  // The second check leaves one text for each value.
-  if (!Value || formatPrefix(*Value, ClusterSecret) != Text)
+  // base64UrlDecode() accepts one text for each string of bytes; the second
+  // check accepts one string of bytes for each value.
+  if (!Value || prefixFields(*Value) != Fields)
     return badKey("the key's prefix has another format");
   return *Value;
 }
--- a/src/claims/internal/pending.cpp
+++ b/src/claims/internal/pending.cpp
@@ -63,13 +63,21 @@
 }
 
 void finishNotRun(Step &S, const PendingClaim &Claim, std::string Reason) {
-  const bool Refused =
-      Claim.Intent == ClaimIntent::Refuse && !Claim.Reason.empty();
-  S.Effects.emplace_back(Decide{
-      Claim.Id.Key, Claim.Id.Digest, ClaimOutcome::NotRun,
-      Refused ? Claim.Reason : std::move(Reason),
-      Refused ? Claim.Detail : "no task of this key has started or will start",
-      RetryAdvice::NewKey});
+  Decide Result{Claim.Id.Key,
+                Claim.Id.Digest,
+                ClaimOutcome::NotRun,
+                std::move(Reason),
+                "no task of this key has started or will start; use a new "
+                "number",
+                RetryAdvice::NewKey};
+  if (Result.Reason == "prefix_sealed")
+    Result.Detail = "no task of this key has started or will start; obtain a "
+                    "new prefix with POST /v1/prefixes";
+  if (Claim.Intent == ClaimIntent::Refuse && !Claim.Reason.empty()) {
+    Result.Reason = Claim.Reason;
+    Result.Detail = Claim.Detail;
+  }
+  S.Effects.emplace_back(std::move(Result));
 }
 
 void finishUnknown(Step &S, const PendingClaim &Claim, std::string Reason,
@@ -128,8 +136,7 @@
     const IssuerVerdict Verdict = decideAtIssuer(
         S.State, Key, S.State.Self, ClaimIntent::Refuse, {}, S.Now);
     // A key granted to another executor cannot be started by the issuer.
-    return Verdict.Verdict == GrantVerdict::Void ||
-           Verdict.Verdict == GrantVerdict::Granted;
+    return Verdict.Verdict != GrantVerdict::TooOld;
   }
   PrefixRecord *Record = openRecord(S.State, Key.Prefix, S.Now);
   if (!Record)
--- a/src/claims/internal/records.cpp
+++ b/src/claims/internal/records.cpp
@@ -152,12 +152,12 @@
     const VmId &Executor = executorOf(*Record, *Held);
     if (Intent != ClaimIntent::Refuse || Executor != Asker)
       return {GrantVerdict::Granted, Executor, Held->Digest};
+  } else if (Record->Sealed) {
+    return {GrantVerdict::Sealed, {}, {}};
   } else if (Intent == ClaimIntent::Find) {
-    // A sealed issuer grants nothing further, so the key never runs.
-    return {
-        Record->Sealed ? GrantVerdict::Void : GrantVerdict::NotGranted, {}, {}};
+    return {GrantVerdict::NotGranted, {}, {}};
   }
-  if (Intent == ClaimIntent::Refuse || Record->Sealed) {
+  if (Intent == ClaimIntent::Refuse) {
     putVoid(State, *Record, Key.Number);
     return {GrantVerdict::Void, {}, {}};
   }
@@ -168,6 +168,7 @@
 
 void expireRecords(ClaimState &State, Instant Now) {
   std::vector<VmId> Issuers;
+  Issuers.reserve(State.Records.size());
   for (const auto &Entry : State.Records)
     Issuers.push_back(Entry.first);
   for (const VmId &Issuer : Issuers)
--- a/src/claims/internal/sealsteps.cpp
+++ b/src/claims/internal/sealsteps.cpp
@@ -49,7 +49,7 @@
 void resolveByIssuer(Step &S, PendingClaim Claim,
                      const std::optional<GrantReport> &Report) {
   if (!Report)
-    return finishNotRun(S, Claim, "refused");
+    return finishNotRun(S, Claim, "prefix_sealed");
   if (finishIfConflict(S, Claim, Report->Digest))
     return;
   if (Report->Executor == S.State.Self)
--- a/src/claims/tests/fakenetwork.cpp
+++ b/src/claims/tests/fakenetwork.cpp
@@ -64,7 +64,8 @@
   return Keys.back();
 }
 
-void FakeNetwork::send(const VmId &From, const VmId &To, Envelope Message) {
+void FakeNetwork::send(const VmId &From, const VmId &To,
+                       const Envelope &Message) {
   ++MessagesSent;
   if (Cuts.contains({From.Name, To.Name}) || chance(Rates.Loss))
     return;
--- a/src/claims/tests/fakenetwork.h
+++ b/src/claims/tests/fakenetwork.h
@@ -77,7 +77,7 @@
 
 private:
   void violation(const JobKey &Key, const std::string &What);
-  void send(const VmId &From, const VmId &To, Envelope Message);
+  void send(const VmId &From, const VmId &To, const Envelope &Message);
   void deliver(const Envelope &Message);
   void handle(Node &Vm, const Envelope &Message);
   void apply(Node &Vm, const ClaimEffects &Effects, int Hops);
--- a/src/claims/tests/network_test.cpp
+++ b/src/claims/tests/network_test.cpp
@@ -55,6 +55,7 @@
   for (uint64_t Seed = 1; Seed <= 200; ++Seed) {
     FakeNetwork Network(Seed, 3 + Seed % 3, {});
     std::vector<JobKey> Keys;
+    Keys.reserve(Network.Nodes.size());
     for (Node &Vm : Network.Nodes)
       Keys.push_back(Network.newKey(Vm));
     for (const JobKey &Key : Keys)
--- a/src/claims/tests/rules_test.cpp
+++ b/src/claims/tests/rules_test.cpp
@@ -142,6 +142,15 @@
   CHECK(decided(Vms.claim("d")) == "not run refused new_key");
 }
 
+// Guards against a caller that tries number after number of a dead prefix.
+TEST_CASE("an issuer that was asked to seal refuses with a new prefix") {
+  Cluster Vms;
+  receive(Vms.Vms["a"], {"d", 7}, SealRequest{Vms.Key, 1}, Start);
+  CHECK(decided(Vms.find("d")) == "not run prefix_sealed new_key");
+  CHECK(decided(Vms.claim("a", "b")) == "not run prefix_sealed new_key");
+  CHECK(decided(Vms.claim("b", "c")) == "not run prefix_sealed new_key");
+}
+
 // Guards against a wait for a VM that is known to be lost.
 TEST_CASE("a claim goes on at once when the issuer is lost") {
   for (const bool Restarted : {false, true}) {
--- a/src/claims/types/claimmessage.h
+++ b/src/claims/types/claimmessage.h
@@ -24,6 +24,8 @@
   Granted,
   /// The key never runs.
   Void,
+  /// Not granted, and the issuer has sealed the prefix: the key never runs.
+  Sealed,
   /// Only in reply to Find: neither granted nor void.
   NotGranted,
   /// The prefix was dropped; nothing is known and nothing will be granted.
--- a/src/claims/types/claimstate.h
+++ b/src/claims/types/claimstate.h
@@ -9,6 +9,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -45,7 +46,10 @@
   /// Absent for a refusal or a search, which concern every body.
   std::optional<BodyDigest> Digest;
 
-  auto operator<=>(const ClaimId &) const = default;
+  bool operator==(const ClaimId &) const = default;
+  std::strong_ordering operator<=>(const ClaimId &Other) const {
+    return std::tie(Key, Digest) <=> std::tie(Other.Key, Other.Digest);
+  }
 };
 
 /// What a pending claim waits for.
--- a/src/claims/types/jobkey.h
+++ b/src/claims/types/jobkey.h
@@ -8,6 +8,7 @@
 #include <compare>
 #include <cstdint>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace sapphiremoor {
@@ -27,7 +28,13 @@
   /// Counts the prefixes of one issuer incarnation, from 1.
   uint64_t Sequence = 0;
 
-  auto operator<=>(const Prefix &) const = default;
+  bool operator==(const Prefix &) const = default;
+  /// Compares first what usually differs, since keys are looked up often.
+  std::strong_ordering operator<=>(const Prefix &Other) const {
+    return std::tie(Sequence, Issuer, Team, DataCentre, Members) <=>
+           std::tie(Other.Sequence, Other.Issuer, Other.Team, Other.DataCentre,
+                    Other.Members);
+  }
 
   template <typename Archive> void serialize(Archive &Ar) {
     Ar(Team, DataCentre, Issuer, Members, Sequence);
@@ -39,7 +46,10 @@
   sapphiremoor::Prefix Prefix;
   uint64_t Number = 0;
 
-  auto operator<=>(const JobKey &) const = default;
+  bool operator==(const JobKey &) const = default;
+  std::strong_ordering operator<=>(const JobKey &Other) const {
+    return std::tie(Number, Prefix) <=> std::tie(Other.Number, Other.Prefix);
+  }
 
   template <typename Archive> void serialize(Archive &Ar) {
     Ar(Prefix, Number);
