Answer only refusals that move back, and test learners that lag

Ruled out: a timer for each follower; the heartbeat already repeats what was lost. Change: a refusal is answered at once only if the next index moves back; the fake network stops at the first fault; a test that a learner becomes a voter only after it has caught up. Conclusion: a refusal cannot start a message storm.

--- a/src/replication/internal/leading.cpp
+++ b/src/replication/internal/leading.cpp
@@ -147,11 +147,15 @@
   Progress.LastReply = Step.Now;
   if (!Reply.Accepted) {
     const uint64_t Lowest = Progress.Match == 0 ? 0 : Progress.Match + 1;
+    const uint64_t Before = Progress.Next;
     Progress.Next =
         std::min(std::max(Reply.NextHint, Lowest), lastIndex(State) + 1);
-    // A snapshot that is under way is not sent again at each refusal.
-    if (Progress.Next > State.Snapshot.Index ||
-        Step.Now >= Progress.SnapshotDue)
+    // Only a refusal that moves back is answered at once, else request and
+    // refusal could follow each other without end. A snapshot that is under way
+    // is not sent again either. The next heartbeat covers both.
+    const bool SnapshotSent = Progress.Next <= State.Snapshot.Index &&
+                              Step.Now < Progress.SnapshotDue;
+    if (Progress.Next < Before && !SnapshotSent)
       sendAppend(Step, From, Progress);
     return;
   }
--- a/src/replication/tests/fakenetwork.cpp
+++ b/src/replication/tests/fakenetwork.cpp
@@ -191,7 +191,7 @@
 
 void FakeNetwork::run(Duration Time) {
   const Instant End = Now + Time;
-  while (Now < End) {
+  while (Now < End && Faults.empty()) {
     if (!Queue.empty() && Queue.begin()->first <= NextTick) {
       Now = std::max(Now, Queue.begin()->first);
       const Delivery Each = std::move(Queue.extract(Queue.begin()).mapped());
@@ -283,7 +283,7 @@
         Hashes.insert(Node.Applied.Hash);
     return Hashes.size() == 1 && leader();
   };
-  for (int Round = 0; Round < 60; ++Round) {
+  for (int Round = 0; Round < 60 && Faults.empty(); ++Round) {
     run(milliseconds(1000));
     if (Equal())
       return true;
--- a/src/replication/tests/fakenetwork.h
+++ b/src/replication/tests/fakenetwork.h
@@ -35,7 +35,7 @@
   /// Starts \p Voters replicas "a", "b" and so on that vote.
   FakeNetwork(std::size_t Voters, uint64_t Seed);
 
-  /// Lets \p Time pass.
+  /// Lets \p Time pass. Stops at the first fault.
   void run(Duration Time);
   void crash(const std::string &Name);
   void restart(const std::string &Name);
--- a/src/replication/tests/replica_test.cpp
+++ b/src/replication/tests/replica_test.cpp
@@ -308,6 +308,26 @@
   checkNoFaults(Net);
 }
 
+TEST_CASE("a learner is not made a voter before it has caught up") {
+  // Guards against a majority that waits for a voter without entries.
+  FakeNetwork Net(3, 53);
+  REQUIRE(commits(Net, "x"));
+  const std::string Leader = Net.leader().value();
+  const std::string Wiped = Leader == "a" ? "b" : "a";
+  Net.cut(Leader, Wiped);
+  Net.wipe(Wiped);
+  Net.run(5s);
+  const Voter New = Net.voter(Wiped);
+  const uint64_t Early = Net.changeVoter(VoterChangeKind::Add, New);
+  CHECK(errorOf(Net.Results.at(Early)).Kind == ErrorKind::Conflict);
+  Net.heal();
+  Net.run(5s);
+  const uint64_t Late = Net.changeVoter(VoterChangeKind::Add, New);
+  Net.run(1s);
+  CHECK(accepted(Net, Late));
+  checkNoFaults(Net);
+}
+
 TEST_CASE("two voter changes at a time are refused") {
   // Guards against sets of voters with disjoint majorities.
   FakeNetwork Net(5, 19);
