Add a benchmark of the real request path

The targets of the design for throughput, added response and control cost had no measurement through real daemons.

--- /dev/null
+++ b/bench/path/nullbackend.cpp
@@ -0,0 +1,36 @@
+#include "nullbackend.h"
+
+#include <event2/buffer.h>
+#include <event2/event.h>
+#include <event2/http.h>
+
+#include <string_view>
+
+namespace sapphiremoor::bench {
+
+namespace {
+
+void answer(evhttp_request *Request, void *) {
+  static constexpr std::string_view Body = R"({"done":true})";
+  evbuffer_add(evhttp_request_get_output_buffer(Request), Body.data(),
+               Body.size());
+  evhttp_add_header(evhttp_request_get_output_headers(Request), "Content-Type",
+                    "application/json");
+  evhttp_send_reply(Request, 200, nullptr, nullptr);
+}
+
+} // namespace
+
+int runNullBackend(const std::string &Address, uint16_t Port) {
+  event_base *Base = event_base_new();
+  evhttp *Http = evhttp_new(Base);
+  evhttp_set_gencb(Http, answer, nullptr);
+  const bool Bound = evhttp_bind_socket(Http, Address.c_str(), Port) == 0;
+  if (Bound)
+    event_base_dispatch(Base);
+  evhttp_free(Http);
+  event_base_free(Base);
+  return Bound ? 0 : 1;
+}
+
+} // namespace sapphiremoor::bench
