Answer a change once it is in force here, show ejections and seals, name error kinds

Ruled out: an automatic retry of a conflict, which could overwrite another operator's change. Conclusion: operators read their own writes at the VM that they used.

--- a/src/app/internal/configcommands.cpp
+++ b/src/app/internal/configcommands.cpp
@@ -128,7 +128,8 @@
     return Body["revision"].get<uint64_t>();
   const Json Failure =
       Body.is_object() ? Body.value("error", Json::object()) : Json::object();
-  return Error{ErrorKind::Conflict, Name + ": " + Failure.value("message", ""),
+  return Error{errorKindOf(Failure.value("kind", "")),
+               Name + ": " + Failure.value("message", ""),
                Failure.value("remedy", "")};
 }
 
--- a/src/app/internal/operatorcommands.cpp
+++ b/src/app/internal/operatorcommands.cpp
@@ -71,8 +71,9 @@
             << tableOf(Body["vms"],
                        {"vm", "data_centre", "live", "draining", "revision"})
             << "\n"
-            << tableOf(Body["backends"], {"backend", "worker", "rack",
-                                          "services", "slots", "state"});
+            << tableOf(Body["backends"],
+                       {"backend", "worker", "rack", "services", "slots",
+                        "state", "ejected"});
   return ExitCode::Done;
 }
 
--- a/src/app/internal/servecommand.cpp
+++ b/src/app/internal/servecommand.cpp
@@ -21,7 +21,10 @@
 }
 
 ExitCode rejectSettings(const Error &Reason) {
-  logEvent(events::SettingsRejected, {{"error", describe(Reason)}});
+  const bool Disk = Reason.Kind == ErrorKind::CorruptData ||
+                    Reason.Kind == ErrorKind::StorageFailure;
+  logEvent(Disk ? events::StorageFailed : events::SettingsRejected,
+           {{"error", describe(Reason)}});
   return ExitCode::BadInput;
 }
 
--- a/src/configuration/internal/limitsreader.cpp
+++ b/src/configuration/internal/limitsreader.cpp
@@ -40,7 +40,6 @@
     {"connect_timeout_ms", &Limits::ConnectTimeout, {10, 10'000, "ms"}},
     {"idle_connection_ms", &Limits::IdleConnection, {10, Minute, "ms"}},
     {"task_timeout_ms", &Limits::TaskTimeout, {100, 10 * Minute, "ms"}},
-    {"dispatch_groups", &Limits::DispatchGroups, {1, 64, "groups"}},
 }};
 
 std::vector<std::string> ruleNames() {
--- a/src/configuration/types/settings.h
+++ b/src/configuration/types/settings.h
@@ -43,7 +43,6 @@
   Duration ConnectTimeout = std::chrono::milliseconds(300);
   Duration IdleConnection = std::chrono::seconds(2);
   Duration TaskTimeout = std::chrono::seconds(30);
-  uint32_t DispatchGroups = 1;
 
   auto operator<=>(const Limits &) const = default;
 };
--- a/src/daemon/claimservice.h
+++ b/src/daemon/claimservice.h
@@ -34,6 +34,7 @@
 
 private:
   void run(const ClaimEffects &Effects);
+  void noteSeal(const SendClaim &Sent);
   void armTimer();
 
   EventLoop &Loop;
@@ -41,6 +42,8 @@
   const MembershipService &Membership;
   ClaimState State;
   std::function<void(const ClaimEffect &)> Handler;
+  /// Issuer of the last seal that was logged: one line per lost issuer.
+  VmId LastSealed;
   Timer Deadline;
   Timer Expiry;
 };
--- a/src/daemon/configservice.h
+++ b/src/daemon/configservice.h
@@ -40,6 +40,11 @@
   const ReplicaState *replica() const;
 
 private:
+  struct AcceptedChange {
+    ChangeResult Result;
+    Instant Deadline;
+    ChangeHandler Handler;
+  };
   struct Proposal {
     VmId To;
     Instant Deadline;
@@ -56,6 +61,9 @@
   Result<Done> install(const std::string &Bytes);
   void adopt(const ConfigChunk &Chunk);
   void noteInForce(uint64_t Before);
+  void answerWhenInForce(const VmId &From, const ChangeResult &Result,
+                         ChangeHandler Handler);
+  void answerReached();
   void expireProposals();
 
   EventLoop &Loop;
@@ -73,6 +81,8 @@
   std::function<void(const ServiceConfig &)> InForce;
   RequestNumber LastRequest = 0;
   std::map<RequestNumber, Proposal> Proposals;
+  /// Accepted changes that have not reached this VM yet.
+  std::vector<AcceptedChange> Reaching;
   Timer Expiry;
 };
 
--- a/src/daemon/internal/claimservice.cpp
+++ b/src/daemon/internal/claimservice.cpp
@@ -1,6 +1,9 @@
 #include "daemon/claimservice.h"
 
+#include "framework/eventlog/eventlog.h"
+
 #include <algorithm>
+#include <utility>
 
 namespace sapphiremoor {
 
@@ -71,14 +74,24 @@
 
 void ClaimService::run(const ClaimEffects &Effects) {
   for (const ClaimEffect &Effect : Effects) {
-    if (const auto *Message = std::get_if<SendClaim>(&Effect))
+    if (const auto *Message = std::get_if<SendClaim>(&Effect)) {
+      noteSeal(*Message);
       Bus.send(Message->To, Message->Message);
-    else
+    } else
       Handler(Effect);
   }
   armTimer();
 }
 
+void ClaimService::noteSeal(const SendClaim &Sent) {
+  const auto *Seal = std::get_if<SealRequest>(&Sent.Message);
+  if (Seal == nullptr)
+    return;
+  const VmId &Issuer = Seal->Key.Prefix.Issuer;
+  if (std::exchange(LastSealed, Issuer) != Issuer)
+    logEvent(events::PrefixSealed, {{"issuer", Issuer.Name}});
+}
+
 void ClaimService::armTimer() {
   const std::optional<Instant> Next = nextDeadline(State);
   if (!Next)
--- a/src/daemon/internal/configservice.cpp
+++ b/src/daemon/internal/configservice.cpp
@@ -56,10 +56,15 @@
                       Bus.send(From, ProposeReply{Request, Outcome});
                     });
   });
-  Bus.on<ProposeReply>([this](const VmId &, const ProposeReply &Message) {
+  Bus.on<ProposeReply>([this](const VmId &From, const ProposeReply &Message) {
     auto Found = Proposals.extract(Message.Request);
-    if (!Found.empty())
+    if (Found.empty())
+      return;
+    if (isError(Message.Result))
       Found.mapped().Handler(Message.Result);
+    else
+      answerWhenInForce(From, valueOf(Message.Result),
+                        std::move(Found.mapped().Handler));
   });
   Expiry.startPeriodic(ExpiryPeriod);
   if (Replica == nullptr)
@@ -221,9 +226,37 @@
     return;
   logEvent(events::ChangeInForce, {{"revision", std::to_string(revision())}});
   InForce(config());
+  // The other VMs fetch the change now rather than at the next heartbeat.
+  if (Replica != nullptr && Replica->leader() == Of.Name)
+    Membership.beat();
+  answerReached();
+}
+
+void ConfigService::answerWhenInForce(const VmId &From,
+                                      const ChangeResult &Result,
+                                      ChangeHandler Handler) {
+  // An operator's next command at this VM must see the change.
+  if (Result.CurrentRevision > revision())
+    Bus.send(From, ConfigFetch{Adopted.Revision});
+  Reaching.push_back({Result, Loop.now() + ProposalLimit, std::move(Handler)});
+  answerReached();
+}
+
+void ConfigService::answerReached() {
+  std::vector<AcceptedChange> Reached;
+  std::erase_if(Reaching, [&](AcceptedChange &Change) {
+    if (Change.Result.CurrentRevision > revision() &&
+        Change.Deadline > Loop.now())
+      return false;
+    Reached.push_back(std::move(Change));
+    return true;
+  });
+  for (const AcceptedChange &Change : Reached)
+    Change.Handler(Change.Result);
 }
 
 void ConfigService::expireProposals() {
+  answerReached();
   const Instant Now = Loop.now();
   std::vector<ChangeHandler> Expired;
   std::erase_if(Proposals, [&](auto &Entry) {
--- a/src/daemon/internal/jobexecutor.cpp
+++ b/src/daemon/internal/jobexecutor.cpp
@@ -1,5 +1,7 @@
 #include "daemon/jobexecutor.h"
 
+#include "framework/eventlog/eventlog.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -198,6 +200,8 @@
     --Found->second.PossibleStarts;
   const FinishDecision Next =
       taskFinished(State, Start, Outcome, RunTime, Loop.now());
+  if (Outcome == TaskOutcome::Failed || Outcome == TaskOutcome::Lost)
+    noteEjection(Start.BackendId);
   if (Next == FinishDecision::Requeued)
     TaskRetries.add();
   if (Next == FinishDecision::Final)
@@ -205,6 +209,14 @@
   schedulePump();
 }
 
+void JobExecutor::noteEjection(const std::string &Id) {
+  const bool Is = !ejectedServices(State, Id).empty();
+  if (Is && Ejected.insert(Id).second)
+    logEvent(events::BackendEjected, {{"backend", Id}});
+  if (!Is)
+    Ejected.erase(Id);
+}
+
 void JobExecutor::taskEnded(const TaskStart &Start, TaskOutcome Outcome,
                             const std::string &Body) {
   const auto Found = Jobs.find(Start.Job);
--- a/src/daemon/internal/replicaservice.cpp
+++ b/src/daemon/internal/replicaservice.cpp
@@ -100,11 +100,10 @@
   const std::optional<Voter> Changed = findVoter(Name, Remove);
   if (!Changed) {
     Handler(Error{ErrorKind::NotFound,
-                  Remove
-                      ? "'" + Name + "' is no voter"
-                      : "the leader has not brought '" + Name + "' up to date",
-                  "see 'sapphiremoor config voters show'; start a new voter "
-                  "with an empty data folder first"});
+                  Remove ? "'" + Name + "' is no voter"
+                         : "'" + Name + "' does not follow without a vote",
+                  "see 'sapphiremoor config voters show'; a new voter needs a "
+                  "data folder and must have caught up"});
     return;
   }
   Proposals.emplace(++LastProposal, std::move(Handler));
--- a/src/daemon/internal/statusreport.cpp
+++ b/src/daemon/internal/statusreport.cpp
@@ -32,7 +32,8 @@
   return Rows;
 }
 
-Json backendRows(const BackendTable &Backends) {
+Json backendRows(const BackendTable &Backends,
+                 const PlacementState &Placement) {
   Json Rows = Json::array();
   for (const auto &[Id, Server] : Backends.Backends) {
     Json Row;
@@ -42,6 +43,7 @@
     Row["services"] = Server.Last.Services;
     Row["slots"] = Server.Last.Slots;
     Row["state"] = stateName(Server);
+    Row["ejected"] = ejectedServices(Placement, Id);
     Rows.push_back(std::move(Row));
   }
   return Rows;
@@ -76,7 +78,7 @@
   Report["queued_tasks"] = Of.Executor.placement().Queued;
   Report["replica"] = replicaRow(Of.Config.replica());
   Report["vms"] = vmRows(Of, Now);
-  Report["backends"] = backendRows(Of.Backends);
+  Report["backends"] = backendRows(Of.Backends, Of.Executor.placement());
   return Report.dump() + "\n";
 }
 
--- a/src/daemon/jobexecutor.h
+++ b/src/daemon/jobexecutor.h
@@ -84,6 +84,7 @@
   void launch(const TaskStart &Start);
   void finished(const TaskStart &Start, Instant StartedAt,
                 const HttpCallResult &Result);
+  void noteEjection(const std::string &Id);
   void taskEnded(const TaskStart &Start, TaskOutcome Outcome,
                  const std::string &Body);
   void fail(JobNumber Number, const std::string &Reason,
@@ -101,6 +102,8 @@
   std::vector<std::string> ServiceNames;
   std::unordered_map<JobNumber, RunningJob> Jobs;
   std::set<std::pair<Instant, JobNumber>> Deadlines;
+  /// Servers whose ejection has been logged.
+  std::set<std::string> Ejected;
   uint64_t LastJob = 0;
   bool PumpScheduled = false;
   Timer Wakeup;
--- a/src/daemon/jobrouter.h
+++ b/src/daemon/jobrouter.h
@@ -72,6 +72,8 @@
   struct Ticket {
     JobRequest Job;
     std::optional<JobNumber> Running;
+    /// Text of the key, which costs an HMAC to make; set when the job starts.
+    std::string Label;
     bool Refusing = false;
     bool Cancelled = false;
     std::vector<JobReplyHandler> Waiting;
--- a/src/daemon/membershipservice.h
+++ b/src/daemon/membershipservice.h
@@ -45,12 +45,13 @@
 
   /// Announces that this VM takes no new work.
   void drain();
+  /// Sends a heartbeat now.
+  void beat();
   bool draining() const { return State.Draining; }
 
   const MembershipState &state() const { return State; }
 
 private:
-  void beat();
   void checkDispatcher();
 
   EventLoop &Loop;
--- a/src/framework/core/error.h
+++ b/src/framework/core/error.h
@@ -38,6 +38,9 @@
 /// Returns the name of \p Kind as used in answers, for example "bad_json".
 std::string_view errorKindName(ErrorKind Kind);
 
+/// Returns the kind with the name \p Name, or Internal for another text.
+ErrorKind errorKindOf(std::string_view Name);
+
 /// A typed error. The remedy tells the reader what to do next.
 struct Error {
   ErrorKind Kind = ErrorKind::Internal;
--- a/src/framework/core/internal/error.cpp
+++ b/src/framework/core/internal/error.cpp
@@ -56,6 +56,13 @@
   return "internal";
 }
 
+ErrorKind errorKindOf(std::string_view Name) {
+  for (int I = 0; I < static_cast<int>(ErrorKind::Internal); ++I)
+    if (errorKindName(static_cast<ErrorKind>(I)) == Name)
+      return static_cast<ErrorKind>(I);
+  return ErrorKind::Internal;
+}
+
 std::string describe(const Error &Err) {
   std::string Text(errorKindName(Err.Kind));
   Text += ": " + Err.Message;
--- a/src/framework/core/tests/core_test.cpp
+++ b/src/framework/core/tests/core_test.cpp
@@ -12,6 +12,12 @@
   CHECK(describe(Err) == "bad_json: line 3 (add a comma)");
 }
 
+TEST_CASE("each kind of error is found by its name") {
+  CHECK(errorKindOf("bad_request") == ErrorKind::BadRequest);
+  CHECK(errorKindOf("not_leader") == ErrorKind::NotLeader);
+  CHECK(errorKindOf("no such kind") == ErrorKind::Internal);
+}
+
 TEST_CASE("a misspelt name is matched, an unrelated one is not") {
   const std::vector<std::string> Known{"idempotent", "weight", "declared_ms"};
   CHECK(nearestName("idempotant", Known) == "idempotent");
--- a/src/placement/internal/backends.cpp
+++ b/src/placement/internal/backends.cpp
@@ -276,4 +276,16 @@
   detail::forgetIfIdle(State, Index);
 }
 
+std::vector<std::string> ejectedServices(const PlacementState &State,
+                                         const std::string &Id) {
+  std::vector<std::string> Names;
+  const auto Found = State.BackendNumbers.find(Id);
+  if (Found == State.BackendNumbers.end())
+    return Names;
+  for (const Carriage &Carried : State.Backends[Found->second].Carriages)
+    if (Carried.Standing == Health::Ejected)
+      Names.push_back(State.Services[Carried.Service].Spec.Name);
+  return Names;
+}
+
 } // namespace sapphiremoor
--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -69,6 +69,10 @@
 /// Duration if no backend server carries it.
 Duration expectedWait(const PlacementState &State, const std::string &Service);
 
+/// Returns the services from which the backend server is ejected.
+std::vector<std::string> ejectedServices(const PlacementState &State,
+                                         const std::string &Id);
+
 /// Returns when nextStarts and expireTasks must be called at the latest.
 std::optional<Instant> nextTimer(const PlacementState &State);
 
