--- a/src/daemon/internal/httpapi.cpp
+++ b/src/daemon/internal/httpapi.cpp
@@ -88,6 +88,10 @@
   if (Parts.Membership.draining())
     return Error{ErrorKind::Draining, "this VM is being stopped",
                  "send the request to another VM"};
+  if (Parts.Config.revision() == 0)
+    return Error{ErrorKind::Unreachable, "this VM has no configuration yet",
+                 "send the request to another VM, or apply a configuration if "
+                 "the deployment is new"};
   JobLimits Limits;
   Limits.MaxTasks = Of.Limits.MaxTasks;
   Result<JobRequest> Job = parseJobRequest(From.Request.Body, Single, Limits);
@@ -208,6 +212,15 @@
 }
 
 void HttpApi::perform(const Call &From, const ShowMetricsCommand &) {
+  const char *Help = "Bytes on the links between VMs.";
+  const PeerNetwork &Links = Parts.Router.links();
+  Parts.Metrics.gauge("sapphiremoor_peer_bytes", Help, {{"direction", "sent"}})
+      .set(static_cast<double>(Links.bytesSent()));
+  Parts.Metrics
+      .gauge("sapphiremoor_peer_bytes", Help, {{"direction", "received"}})
+      .set(static_cast<double>(Links.bytesReceived()));
+  Parts.Metrics.gauge("sapphiremoor_config_revision", "Configuration in force.")
+      .set(static_cast<double>(Parts.Config.revision()));
   From.Answer.respond({200, Parts.Metrics.text(), "text/plain; version=0.0.4"});
 }
 
--- a/src/daemon/internal/jobrouter.cpp
+++ b/src/daemon/internal/jobrouter.cpp
@@ -276,8 +276,9 @@
                       {}});
     return;
   }
+  Found->second.Label = formatKey(Effect.Key, ClusterKey);
   Found->second.Running = Executor.start(
-      formatKey(Effect.Key, ClusterKey), Found->second.Job,
+      Found->second.Label, Found->second.Job,
       [this, Id](const Answer &Result) { finishTicket(Id, Result); });
 }
 
@@ -324,13 +325,14 @@
 }
 
 void JobRouter::finishTicket(const ClaimId &Id, const Answer &Result) {
-  const std::string Label = formatKey(Id.Key, ClusterKey);
-  logEvent(events::JobDecided,
-           {{"key", Label},
-            {"outcome", std::string(outcomeName(Result.Result))},
-            {"reason", Result.Reason}});
-  Claims.store(Id.Key, *Id.Digest, encodeAnswer(Result));
   auto Ended = Tickets.extract(Id);
+  const bool Started = !Ended.empty() && !Ended.mapped().Label.empty();
+  logEvent(
+      events::JobDecided,
+      {{"key", Started ? Ended.mapped().Label : formatKey(Id.Key, ClusterKey)},
+       {"outcome", std::string(outcomeName(Result.Result))},
+       {"reason", Result.Reason}});
+  Claims.store(Id.Key, *Id.Digest, encodeAnswer(Result));
   if (Ended.empty())
     return;
   for (const JobReplyHandler &Handler : Ended.mapped().Waiting)
--- a/src/daemon/jobrouter.h
+++ b/src/daemon/jobrouter.h
@@ -42,6 +42,8 @@
   void issuePrefix(const std::string &Team,
                    std::function<void(const Prefix &)> Handler);
 
+  const PeerNetwork &links() const { return Bus.network(); }
+
   /// Requests and jobs that have not been answered.
   std::size_t open() const;
 
