Test cuts between data centres and silent connections with a relay

Cause: cuts were only tested as frozen processes; a one-way cut and a silent connection cannot be made with signals. Ruled out: network namespaces, because the tests must run as plain processes on any machine. Change: links between VMs can pass relays that swallow one or both directions; the relay takes any loopback target. Before: no test of these faults.

--- a/tests/endtoend/deployment.cpp
+++ b/tests/endtoend/deployment.cpp
@@ -57,7 +57,8 @@
   return Body.contains("error") ? Body["error"].value("kind", "") : "";
 }
 
-Deployment::Deployment(std::vector<Vm> Vms, const std::string &Limits)
+Deployment::Deployment(std::vector<Vm> Vms, const std::string &Limits,
+                       const std::vector<RelayedLink> &Relayed)
     : Vms(std::move(Vms)) {
   char Template[] = "/tmp/endtoend-XXXXXX";
   Folder = mkdtemp(Template);
@@ -65,6 +66,9 @@
   writeSecret("cluster.key", "the key of the test cluster");
   for (const auto &[Name, Text] : tokens())
     writeSecret("tokens/" + Name + ".token", Text);
+  for (const RelayedLink &Link : Relayed)
+    Relays[Link] = std::make_unique<RelayProcess>(
+        peer(Link.To), Folder + "/" + Link.From + "-" + Link.To + ".log");
   for (const Vm &Each : this->Vms) {
     writeSettings(Each, Limits);
     startVm(Each.Name);
@@ -225,6 +229,12 @@
   return {address(Vm), PeerPort};
 }
 
+Endpoint Deployment::dialled(const std::string &From,
+                             const std::string &To) const {
+  const auto Found = Relays.find({From, To});
+  return Found == Relays.end() ? peer(To) : Found->second->entry();
+}
+
 void Deployment::writeSettings(const Vm &Of, const std::string &Limits) const {
   Json Written;
   Written["name"] = Of.Name;
@@ -234,11 +244,12 @@
   Written["peers"] = Json::array();
   Written["voters"] = Json::array();
   for (const Vm &Each : Vms) {
+    const Endpoint Dialled = dialled(Of.Name, Each.Name);
     Written["peers"].push_back(
         {{"name", Each.Name},
          {"data_centre", Each.DataCentre},
-         {"address", address(Each.Name)},
-         {"port", PeerPort},
+         {"address", Dialled.Address},
+         {"port", Dialled.Port},
          {"http", {{"address", address(Each.Name)}, {"port", HttpPort}}}});
     if (Each.Votes)
       Written["voters"].push_back(Each.Name);
--- a/tests/endtoend/deployment.h
+++ b/tests/endtoend/deployment.h
@@ -3,6 +3,7 @@
 
 #include "framework/net/httpcall.h"
 #include "process.h"
+#include "relayprocess.h"
 
 #include <nlohmann/json.hpp>
 
@@ -25,6 +26,14 @@
   bool Votes = false;
 };
 
+/// A link from one VM to another that passes a relay.
+struct RelayedLink {
+  std::string From;
+  std::string To;
+
+  auto operator<=>(const RelayedLink &) const = default;
+};
+
 /// An answer with its JSON body.
 struct Reply {
   HttpCallStatus Transport = HttpCallStatus::Unknown;
@@ -44,7 +53,9 @@
 public:
   /// Starts the daemons of \p Vms and waits until all see each other.
   /// \p Limits is the JSON of the setting "limits".
-  explicit Deployment(std::vector<Vm> Vms, const std::string &Limits = "{}");
+  /// The links \p Relayed pass relays.
+  explicit Deployment(std::vector<Vm> Vms, const std::string &Limits = "{}",
+                      const std::vector<RelayedLink> &Relayed = {});
   ~Deployment();
   Deployment(const Deployment &) = delete;
   Deployment &operator=(const Deployment &) = delete;
@@ -54,6 +65,10 @@
   void configure();
 
   void startVm(const std::string &Name);
+  /// The relay of a link named at construction.
+  const RelayProcess &relay(const RelayedLink &Link) const {
+    return *Relays.at(Link);
+  }
   Process &vm(const std::string &Name) { return *Daemons.at(Name); }
   /// Removes the data folder of a stopped VM.
   void wipe(const std::string &Name) const;
@@ -102,9 +117,12 @@
   void writeSettings(const Vm &Of, const std::string &Limits) const;
   void writeSecret(const std::string &File, const std::string &Text) const;
   std::string address(const std::string &Vm) const;
+  /// Where \p From dials the VM \p To.
+  Endpoint dialled(const std::string &From, const std::string &To) const;
 
   std::vector<Vm> Vms;
   std::string Folder;
+  std::map<RelayedLink, std::unique_ptr<RelayProcess>> Relays;
   std::map<std::string, std::unique_ptr<Process>> Daemons;
   std::map<std::string, std::unique_ptr<Process>> Backends;
   EventLoop Loop;
--- /dev/null
+++ b/tests/endtoend/relayprocess.cpp
@@ -0,0 +1,41 @@
+#include "relayprocess.h"
+
+#include "deployment.h"
+
+#include <doctest/doctest.h>
+
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <fstream>
+
+namespace sapphiremoor::endtoend {
+
+RelayProcess::RelayProcess(const Endpoint &Target, const std::string &LogFile)
+    : Running({RELAY_PROGRAM, "--to", describe(Target)}, LogFile) {
+  Deployment::waitUntil("the relay to listen", [&] {
+    std::ifstream File(LogFile);
+    std::string Word;
+    return static_cast<bool>(File >> Word >> ListenPort >> Word >> ControlPort);
+  });
+}
+
+void RelayProcess::command(const std::string &Line) const {
+  const int Fd = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in Address{};
+  Address.sin_family = AF_INET;
+  Address.sin_port = htons(ControlPort);
+  Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  REQUIRE(connect(Fd, reinterpret_cast<sockaddr *>(&Address),
+                  sizeof(Address)) == 0);
+  const std::string Sent = Line + "\n";
+  REQUIRE(send(Fd, Sent.data(), Sent.size(), 0) ==
+          static_cast<ssize_t>(Sent.size()));
+  char Answer[16] = {};
+  REQUIRE(recv(Fd, Answer, sizeof(Answer) - 1, 0) > 0);
+  close(Fd);
+  REQUIRE(std::string(Answer).starts_with("ok"));
+}
+
+} // namespace sapphiremoor::endtoend
--- a/tests/relay/main.cpp
+++ b/tests/relay/main.cpp
@@ -5,8 +5,11 @@
 
 #include <CLI/CLI.hpp>
 
+#include <arpa/inet.h>
+
 #include <csignal>
 #include <iostream>
+#include <optional>
 
 using namespace sapphiremoor::relay;
 
@@ -14,17 +17,23 @@
 
 constexpr int UsageExit = 2;
 
-/// Returns the port of "127.0.0.1:PORT", or 0: the relay stays on loopback.
-uint16_t loopbackPort(const std::string &Text) {
-  const std::string Prefix = "127.0.0.1:";
+/// Parses "127.X.Y.Z:PORT"; nothing for another address: the relay stays on the
+/// loopback interface.
+std::optional<sockaddr_in> loopbackEndpoint(const std::string &Text) {
+  const std::size_t Colon = Text.rfind(':');
+  sockaddr_in Parsed{};
+  Parsed.sin_family = AF_INET;
   uint16_t Port = 0;
-  if (!Text.starts_with(Prefix) ||
-      !CLI::detail::lexical_cast(Text.substr(Prefix.size()), Port))
-    return 0;
-  return Port;
+  if (Colon == std::string::npos || !Text.starts_with("127.") ||
+      inet_pton(AF_INET, Text.substr(0, Colon).c_str(), &Parsed.sin_addr) !=
+          1 ||
+      !CLI::detail::lexical_cast(Text.substr(Colon + 1), Port) || Port == 0)
+    return std::nullopt;
+  Parsed.sin_port = htons(Port);
+  return Parsed;
 }
 
-int serve(uint16_t Listen, uint16_t ControlPort, uint16_t Target) {
+int serve(uint16_t Listen, uint16_t ControlPort, const sockaddr_in &Target) {
   const BaseHandle Base(event_base_new());
   Relay Relayed(Base.get(), Listen, Target);
   Control Commands(Base.get(), ControlPort, Relayed);
@@ -48,16 +57,16 @@
   std::string To;
   App.add_option("--listen", Listen, "port to listen on, 0 for any");
   App.add_option("--control", ControlPort, "port for commands, 0 for any");
-  App.add_option("--to", To, "127.0.0.1:PORT to relay to")->required();
+  App.add_option("--to", To, "127.X.Y.Z:PORT to relay to")->required();
   try {
     App.parse(Count, Values);
   } catch (const CLI::ParseError &Fault) {
     return App.exit(Fault) == 0 ? 0 : UsageExit;
   }
-  const uint16_t Target = loopbackPort(To);
-  if (Target == 0) {
-    std::cerr << "--to is not 127.0.0.1:PORT\n";
+  const std::optional<sockaddr_in> Target = loopbackEndpoint(To);
+  if (!Target) {
+    std::cerr << "--to is not 127.X.Y.Z:PORT\n";
     return UsageExit;
   }
-  return serve(Listen, ControlPort, Target);
+  return serve(Listen, ControlPort, *Target);
 }
--- a/tests/relay/relay.cpp
+++ b/tests/relay/relay.cpp
@@ -25,8 +25,8 @@
 
 } // namespace
 
-Relay::Relay(event_base *Base, uint16_t ListenPort, uint16_t TargetPort)
-    : Base(Base), TargetPort(TargetPort),
+Relay::Relay(event_base *Base, uint16_t ListenPort, const sockaddr_in &Target)
+    : Base(Base), Target(Target),
       Listener(listenOn(Base, ListenPort, onAccept, this)) {}
 
 uint16_t Relay::port() const {
@@ -79,7 +79,6 @@
   Added.Down = std::make_unique<Pipe>(Base, Added.Client.get(), OnDrained);
   for (bufferevent *Stream : {Added.Client.get(), Added.Server.get()})
     bufferevent_setcb(Stream, onRead, onWritten, onEvent, &Added);
-  const sockaddr_in Target = loopback(TargetPort);
   bufferevent_socket_connect(Added.Server.get(),
                              reinterpret_cast<const sockaddr *>(&Target),
                              sizeof(Target));
--- a/tests/relay/relay.h
+++ b/tests/relay/relay.h
@@ -5,6 +5,8 @@
 #include "mode.h"
 #include "pipe.h"
 
+#include <netinet/in.h>
+
 #include <cstddef>
 #include <cstdint>
 #include <list>
@@ -15,7 +17,8 @@
 /// Relays TCP connections on the loopback interface and can disturb them.
 class Relay {
 public:
-  Relay(event_base *Base, uint16_t ListenPort, uint16_t TargetPort);
+  /// Relays to \p Target, an address of the loopback interface.
+  Relay(event_base *Base, uint16_t ListenPort, const sockaddr_in &Target);
 
   /// Returns the port that the relay listens on, or 0 if it could not.
   uint16_t port() const;
@@ -50,7 +53,7 @@
   void closeIfEnded(Link &Of);
 
   event_base *Base;
-  uint16_t TargetPort;
+  sockaddr_in Target;
   Mode ForNew;
   std::list<Link> Links;
   ListenerHandle Listener;
--- a/tests/relay/tests/relay_test.cpp
+++ b/tests/relay/tests/relay_test.cpp
@@ -49,7 +49,7 @@
   BaseHandle Base{event_base_new()};
   std::vector<std::unique_ptr<End>> Accepted;
   ListenerHandle Server = listenOn(Base.get(), 0, onAccept, this);
-  Relay Relayed{Base.get(), 0, portOf(Server)};
+  Relay Relayed{Base.get(), 0, loopback(portOf(Server))};
   Control Commands{Base.get(), 0, Relayed};
   std::unique_ptr<End> Operator = connectTo(Commands.port());
 
