Remember checked prefixes, split the job router, clear the lint findings

Ruled out: a weaker check of keys; a text that differs in any byte from a remembered prefix is checked in full.

--- a/src/app/internal/operatorcommands.cpp
+++ b/src/app/internal/operatorcommands.cpp
@@ -7,6 +7,7 @@
 #include <CLI/CLI.hpp>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <fstream>
 #include <iostream>
 
@@ -32,9 +33,10 @@
 std::string tableOf(const Json &Rows, const std::vector<std::string> &Names) {
   std::vector<std::vector<std::string>> Cells{Names};
   for (const Json &Row : Rows) {
-    std::vector<std::string> Line;
-    for (const std::string &Name : Names)
-      Line.push_back(cell(Row.at(Name)));
+    std::vector<std::string> Line(Names.size());
+    std::ranges::transform(Names, Line.begin(), [&](const std::string &Name) {
+      return cell(Row.at(Name));
+    });
     Cells.push_back(std::move(Line));
   }
   return formatTable(Cells);
--- a/src/daemon/configservice.h
+++ b/src/daemon/configservice.h
@@ -51,6 +51,9 @@
     ChangeHandler Handler;
   };
 
+  /// Answers or passes on what this VM cannot decide; false if it can.
+  bool decidesElsewhere(const std::function<PeerMessage(RequestNumber)> &Build,
+                        const ChangeHandler &Handler);
   void decideHere(const ChangeFile &Change, const ChangeHandler &Handler);
   void changeVoterHere(const std::string &Name, bool Remove,
                        const ChangeHandler &Handler);
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -7,6 +7,7 @@
 #include "daemon/httpapi.h"
 #include "daemon/jobexecutor.h"
 #include "daemon/jobrouter.h"
+#include "daemon/keycodec.h"
 #include "daemon/membershipservice.h"
 #include "daemon/outcomerecorder.h"
 #include "daemon/peerbus.h"
@@ -43,6 +44,7 @@
   ClaimService Claims;
   BackendRegistry Backends;
   JobExecutor Executor;
+  KeyCodec Keys;
   JobRouter Router;
   /// Absent on a VM without a disk.
   std::unique_ptr<ReplicaService> Replica;
--- a/src/daemon/httpapi.h
+++ b/src/daemon/httpapi.h
@@ -30,7 +30,7 @@
   };
 
   HttpApi(EventLoop &Loop, const Settings &Of, TokenTable Tokens,
-          std::string ClusterKey, Services Parts);
+          KeyCodec &Keys, Services Parts);
 
   Result<uint16_t> start();
 
@@ -63,7 +63,7 @@
   void perform(const Call &From, const DrainCommand &What);
 
   void reject(const Responder &Answer, const Error &Reason);
-  Result<JobKey> keyOf(const Call &From, const std::string &Text) const;
+  Result<JobKey> keyOf(const Call &From, const std::string &Text);
   Result<JobRequest> jobOf(const Call &From, bool Single) const;
   /// Returns a handler that counts the outcome of \p Job and answers \p From.
   JobReplyHandler recording(const JobRequest &Job, JobReplyHandler Answering);
@@ -74,7 +74,7 @@
   EventLoop &Loop;
   const Settings &Of;
   TokenTable Tokens;
-  std::string ClusterKey;
+  KeyCodec &Keys;
   Services Parts;
   HttpServer Server;
 };
--- a/src/daemon/internal/configservice.cpp
+++ b/src/daemon/internal/configservice.cpp
@@ -120,21 +120,27 @@
         std::move(Handler));
 }
 
-void ConfigService::decideHere(const ChangeFile &Change,
-                               const ChangeHandler &Handler) {
+bool ConfigService::decidesElsewhere(
+    const std::function<PeerMessage(RequestNumber)> &Build,
+    const ChangeHandler &Handler) {
   if (Replica == nullptr) {
     Handler(noVoter());
-    return;
+    return true;
   }
   // A VM without a disk may have chosen any voter; only the leader decides.
-  if (Replica->leader() && Replica->leader() != Of.Name) {
-    passOn(
-        [&](RequestNumber Request) {
-          return ProposeChange{Request, Change};
-        },
-        Handler);
+  if (!Replica->leader() || Replica->leader() == Of.Name)
+    return false;
+  passOn(Build, Handler);
+  return true;
+}
+
+void ConfigService::decideHere(const ChangeFile &Change,
+                               const ChangeHandler &Handler) {
+  const auto Build = [&](RequestNumber Request) {
+    return ProposeChange{Request, Change};
+  };
+  if (decidesElsewhere(Build, Handler))
     return;
-  }
   Replica->propose(encode(Change),
                    [this, Handler](const Result<uint64_t> &Index) {
                      if (isError(Index))
@@ -146,18 +152,11 @@
 
 void ConfigService::changeVoterHere(const std::string &Name, bool Remove,
                                     const ChangeHandler &Handler) {
-  if (Replica == nullptr) {
-    Handler(noVoter());
+  const auto Build = [&](RequestNumber Request) {
+    return ProposeVoter{Request, Name, Remove};
+  };
+  if (decidesElsewhere(Build, Handler))
     return;
-  }
-  if (Replica->leader() && Replica->leader() != Of.Name) {
-    passOn(
-        [&](RequestNumber Request) {
-          return ProposeVoter{Request, Name, Remove};
-        },
-        Handler);
-    return;
-  }
   Replica->changeVoter(Name, Remove,
                        [this, Handler](const Result<uint64_t> &Index) {
                          if (isError(Index)) {
@@ -175,7 +174,7 @@
   if (Replica != nullptr && Replica->leader())
     return Bus.network().reachable(*Replica->leader());
   for (const std::string &Name : Of.Voters)
-    if (const auto Linked = Bus.network().reachable(Name))
+    if (auto Linked = Bus.network().reachable(Name))
       return Linked;
   return std::nullopt;
 }
--- a/src/daemon/internal/daemon.cpp
+++ b/src/daemon/internal/daemon.cpp
@@ -24,12 +24,13 @@
       Executor(Loop, Of, Backends.table(), Metrics,
                {[this](const std::string &Id) { Backends.contacted(Id); },
                 [this](const std::string &Id) { Backends.unreachable(Id); }}),
-      Router(Loop, Self, Bus, Membership, Claims, Executor, ClusterKey),
+      Keys(ClusterKey),
+      Router(Loop, Self, Bus, Membership, Claims, Executor, Keys),
       Replica(Of.DataFolder ? std::make_unique<ReplicaService>(Loop, Of, Bus)
                             : nullptr),
       Config(Loop, Of, Bus, Membership, Replica.get()),
       Outcomes(Of.Name, Metrics),
-      Api(Loop, Of, std::move(Tokens), ClusterKey,
+      Api(Loop, Of, std::move(Tokens), Keys,
           {Router,
            Backends,
            Config,
@@ -58,10 +59,10 @@
 }
 
 Result<Done> Daemon::start() {
-  const Result<Done> Connected = connect();
+  Result<Done> Connected = connect();
   if (isError(Connected))
     return Connected;
-  const Result<Done> Linked = Bus.start();
+  Result<Done> Linked = Bus.start();
   if (isError(Linked))
     return Linked;
   const Result<uint16_t> Served = Api.start();
--- a/src/daemon/internal/httpapi.cpp
+++ b/src/daemon/internal/httpapi.cpp
@@ -1,6 +1,5 @@
 #include "daemon/httpapi.h"
 
-#include "claims/keytext.h"
 #include "daemon/internal/configjson.h"
 #include "framework/eventlog/eventlog.h"
 #include "gateway/answerformat.h"
@@ -45,9 +44,8 @@
 } // namespace
 
 HttpApi::HttpApi(EventLoop &Loop, const Settings &Of, TokenTable Tokens,
-                 std::string ClusterKey, Services Parts)
-    : Loop(Loop), Of(Of), Tokens(std::move(Tokens)),
-      ClusterKey(std::move(ClusterKey)), Parts(Parts),
+                 KeyCodec &Keys, Services Parts)
+    : Loop(Loop), Of(Of), Tokens(std::move(Tokens)), Keys(Keys), Parts(Parts),
       Server(Loop, limitsOf(Of),
              [this](HttpRequest Request, const Responder &Answer) {
                handle(std::move(Request), Answer);
@@ -76,8 +74,8 @@
   std::visit([&](const auto &What) { perform(From, What); }, valueOf(Routed));
 }
 
-Result<JobKey> HttpApi::keyOf(const Call &From, const std::string &Text) const {
-  const Result<JobKey> Key = parseKey(Text, ClusterKey);
+Result<JobKey> HttpApi::keyOf(const Call &From, const std::string &Text) {
+  Result<JobKey> Key = Keys.parse(Text);
   if (!isError(Key) && valueOf(Key).Prefix.Team != From.Sender.Name)
     return Error{ErrorKind::Forbidden, "the key belongs to another team",
                  "obtain a prefix with this team's token: POST /v1/prefixes"};
@@ -144,10 +142,9 @@
     return;
   }
   Parts.Router.issuePrefix(
-      From.Sender.Name,
-      [Answer = From.Answer, Secret = ClusterKey](const Prefix &Issued) {
+      From.Sender.Name, [this, Answer = From.Answer](const Prefix &Issued) {
         Json Body;
-        Body["prefix"] = formatPrefix(Issued, Secret);
+        Body["prefix"] = Keys.format(Issued);
         Answer.respond({200, Body.dump() + "\n", "application/json"});
       });
 }
--- a/src/daemon/internal/jobexecutor.cpp
+++ b/src/daemon/internal/jobexecutor.cpp
@@ -61,6 +61,7 @@
     ServiceNames.push_back(Name);
   }
   std::vector<TeamSpec> Teams;
+  Teams.reserve(Config.Teams.size());
   for (const auto &[Name, Team] : Config.Teams)
     Teams.push_back({Name, Team.Share});
   setServices(State, Services);
--- a/src/daemon/internal/jobrouter.cpp
+++ b/src/daemon/internal/jobrouter.cpp
@@ -1,9 +1,6 @@
 #include "daemon/jobrouter.h"
 
-#include "claims/keytext.h"
 #include "daemon/internal/answers.h"
-#include "framework/eventlog/eventlog.h"
-#include "gateway/answerformat.h"
 #include "gateway/jobparser.h"
 
 #include <algorithm>
@@ -29,10 +26,9 @@
 
 JobRouter::JobRouter(EventLoop &Loop, const VmId &Self, PeerBus &Bus,
                      MembershipService &Membership, ClaimService &Claims,
-                     JobExecutor &Executor, std::string ClusterKey)
+                     JobExecutor &Executor, KeyCodec &Keys)
     : Loop(Loop), Self(Self), Bus(Bus), Membership(Membership), Claims(Claims),
-      Executor(Executor), ClusterKey(std::move(ClusterKey)),
-      Expiry(Loop, [this] { expireWaits(); }) {}
+      Executor(Executor), Keys(Keys), Expiry(Loop, [this] { expireWaits(); }) {}
 
 void JobRouter::start() {
   Claims.start([this](const ClaimEffect &Effect) {
@@ -65,11 +61,11 @@
 }
 
 void JobRouter::submit(const JobKey &Key, const JobRequest &Job,
-                       JobReplyHandler Handler) {
+                       const JobReplyHandler &Handler) {
   submitAgain(Key, Job, 0, giveUpAfter(Duration(Job.DeadlineMicros)), Handler);
 }
 
-void JobRouter::run(const JobRequest &Job, JobReplyHandler Handler) {
+void JobRouter::run(const JobRequest &Job, const JobReplyHandler &Handler) {
   runAgain(Job, 0, giveUpAfter(Duration(Job.DeadlineMicros)), Handler);
 }
 
@@ -265,107 +261,6 @@
   };
 }
 
-void JobRouter::onEffect(const StartJob &Effect) {
-  const ClaimId Id{Effect.Key, Effect.Digest};
-  const auto Found = Tickets.find(Id);
-  if (Found == Tickets.end() || Found->second.Cancelled) {
-    finishTicket(Id, {Outcome::NotRun,
-                      Retry::NewKey,
-                      "cancelled",
-                      "the job was given up before it started",
-                      {}});
-    return;
-  }
-  Found->second.Label = formatKey(Effect.Key, ClusterKey);
-  Found->second.Running = Executor.start(
-      Found->second.Label, Found->second.Job,
-      [this, Id](const Answer &Result) { finishTicket(Id, Result); });
-}
-
-void JobRouter::onEffect(const JoinJob &Effect) {
-  if (Effect.Digest) {
-    const auto Found = Tickets.find({Effect.Key, Effect.Digest});
-    if (Found != Tickets.end() && Found->second.Running)
-      return;
-    const std::string *Kept = Claims.kept(Effect.Key);
-    answerTickets(Effect.Key, Effect.Digest,
-                  Kept == nullptr ? unknownAnswer("no_record")
-                                  : decodeAnswer(*Kept));
-    return;
-  }
-  for (const Search &Waiting : takeSearches(Effect.Key))
-    attachHere(Effect.Key, Waiting.Cancel, Waiting.Handler);
-}
-
-void JobRouter::onEffect(const PassToExecutor &Effect) {
-  answerTickets(Effect.Key, Effect.Digest, Redirect{Effect.Executor});
-  if (Effect.Digest)
-    return;
-  for (Search &Waiting : takeSearches(Effect.Key)) {
-    ++Waiting.Hops;
-    attachAt(Effect.Executor, Effect.Key, std::move(Waiting));
-  }
-}
-
-void JobRouter::onEffect(const Decide &Effect) {
-  const JobReplyBody Body = decidedReply(Effect);
-  if (Effect.Outcome == ClaimOutcome::NotRun)
-    logEvent(events::JobRefused, {{"key", formatKey(Effect.Key, ClusterKey)},
-                                  {"error", Effect.Reason}});
-  answerTickets(Effect.Key, Effect.Digest, Body);
-  if (Effect.Digest)
-    return;
-  for (const Search &Waiting : takeSearches(Effect.Key)) {
-    if (Waiting.Resubmit && Effect.Reason == "not_submitted")
-      submitAgain(Effect.Key, *Waiting.Resubmit, Waiting.Hops + 1,
-                  Waiting.GiveUp, Waiting.Handler);
-    else
-      Waiting.Handler(Body);
-  }
-}
-
-void JobRouter::finishTicket(const ClaimId &Id, const Answer &Result) {
-  auto Ended = Tickets.extract(Id);
-  const bool Started = !Ended.empty() && !Ended.mapped().Label.empty();
-  logEvent(
-      events::JobDecided,
-      {{"key", Started ? Ended.mapped().Label : formatKey(Id.Key, ClusterKey)},
-       {"outcome", std::string(outcomeName(Result.Result))},
-       {"reason", Result.Reason}});
-  Claims.store(Id.Key, *Id.Digest, encodeAnswer(Result));
-  if (Ended.empty())
-    return;
-  for (const JobReplyHandler &Handler : Ended.mapped().Waiting)
-    Handler(Result);
-}
-
-void JobRouter::answerTickets(const JobKey &Key,
-                              const std::optional<BodyDigest> &Digest,
-                              const JobReplyBody &Body) {
-  // An effect without a digest ends a refusal, which also ends the pending
-  // claims of its key. It does not concern jobs that run.
-  const bool Refusal = std::ranges::any_of(Tickets, [&](const auto &Entry) {
-    return Entry.first.Key == Key && Entry.second.Refusing;
-  });
-  if (!Digest && !Refusal)
-    return;
-  std::vector<JobReplyHandler> Told;
-  std::erase_if(Tickets, [&](auto &Entry) {
-    const bool Concerned = Entry.first.Key == Key && !Entry.second.Running &&
-                           (!Digest || Entry.first.Digest == Digest);
-    if (Concerned)
-      std::ranges::move(Entry.second.Waiting, std::back_inserter(Told));
-    return Concerned;
-  });
-  for (const JobReplyHandler &Handler : Told)
-    Handler(Body);
-}
-
-std::vector<JobRouter::Search> JobRouter::takeSearches(const JobKey &Key) {
-  auto Found = Searches.extract(Key);
-  return Found.empty() ? std::vector<Search>() : std::move(Found.mapped());
-}
-
 void JobRouter::onReply(const JobReply &Reply) {
   auto Found = Forwards.extract(Reply.Request);
   if (Found.empty())
--- a/src/daemon/jobrouter.h
+++ b/src/daemon/jobrouter.h
@@ -3,6 +3,7 @@
 
 #include "daemon/claimservice.h"
 #include "daemon/jobexecutor.h"
+#include "daemon/keycodec.h"
 #include "daemon/membershipservice.h"
 #include "daemon/peerbus.h"
 #include "framework/net/timer.h"
@@ -27,15 +28,15 @@
 public:
   JobRouter(EventLoop &Loop, const VmId &Self, PeerBus &Bus,
             MembershipService &Membership, ClaimService &Claims,
-            JobExecutor &Executor, std::string ClusterKey);
+            JobExecutor &Executor, KeyCodec &Keys);
 
   void start();
 
   /// Submits a job under a key. \p Handler is called once.
   void submit(const JobKey &Key, const JobRequest &Job,
-              JobReplyHandler Handler);
+              const JobReplyHandler &Handler);
   /// Runs a single request of an idempotent service.
-  void run(const JobRequest &Job, JobReplyHandler Handler);
+  void run(const JobRequest &Job, const JobReplyHandler &Handler);
   /// Waits for the answer of a key that was submitted earlier, or cancels it.
   void attach(const JobKey &Key, bool Cancel, JobReplyHandler Handler);
   /// Obtains a key prefix from the dispatcher.
@@ -125,7 +126,7 @@
   MembershipService &Membership;
   ClaimService &Claims;
   JobExecutor &Executor;
-  std::string ClusterKey;
+  KeyCodec &Keys;
   RequestNumber LastRequest = 0;
   std::map<RequestNumber, Forward> Forwards;
   std::map<JobKey, std::vector<Search>> Searches;
--- /dev/null
+++ b/src/daemon/tests/keycodec_test.cpp
@@ -0,0 +1,44 @@
+#include "daemon/keycodec.h"
+
+#include "claims/keytext.h"
+
+#include <doctest/doctest.h>
+
+using namespace sapphiremoor;
+
+namespace {
+constexpr const char *Secret = "0123456789abcdef";
+
+Prefix prefixOf(uint64_t Sequence) {
+  const VmId Issuer{"a1", 7};
+  return {"counter", "nitra", Issuer, {Issuer}, Sequence};
+}
+} // namespace
+
+TEST_CASE("a remembered prefix gives the same key as a checked one") {
+  KeyCodec Codec(Secret);
+  const JobKey Key{prefixOf(1), 42};
+  const std::string Text = formatKey(Key, Secret);
+  CHECK(valueOf(Codec.parse(Text)) == Key);
+  CHECK(valueOf(Codec.parse(Text)) == Key);
+  CHECK(Codec.format(Key) == Text);
+  CHECK(Codec.remembered() == 1);
+}
+
+TEST_CASE("a remembered prefix does not let another form of a key pass") {
+  KeyCodec Codec(Secret);
+  const std::string Prefix = Codec.format(prefixOf(1));
+  REQUIRE_FALSE(isError(Codec.parse(Prefix + ".1")));
+  for (const std::string Bad :
+       {".01", ".", ".+1", ".1x", ".18446744073709551616", ""})
+    CHECK(isError(Codec.parse(Prefix + Bad)));
+  CHECK(isError(Codec.parse("x" + Prefix + ".1")));
+  CHECK(isError(KeyCodec("another secret..").parse(Prefix + ".1")));
+}
+
+TEST_CASE("the number of remembered prefixes is bounded") {
+  KeyCodec Codec(Secret);
+  for (uint64_t I = 1; I <= KeyCodec::MaxPrefixes + 10; ++I)
+    Codec.format(prefixOf(I));
+  CHECK(Codec.remembered() <= KeyCodec::MaxPrefixes);
+}
--- a/src/framework/statechart/internal/parsechart.cpp
+++ b/src/framework/statechart/internal/parsechart.cpp
@@ -21,16 +21,20 @@
           "{\"name\",\"initial\",\"states\",\"events\",\"actions\"}"};
 }
 
+Error unknownFieldError(const std::string &Where, const std::string &Name,
+                        const std::vector<std::string> &Known) {
+  const auto Near = nearestName(Name, Known);
+  return {ErrorKind::UnknownSetting,
+          Where + " has the unknown field '" + Name + "'",
+          Near ? "did you mean '" + *Near + "'?" : "remove it"};
+}
+
 /// Refuses fields of \p Object outside \p Known.
 std::optional<Error> unknownField(const Json &Object, const std::string &Where,
                                   const std::vector<std::string> &Known) {
   for (const auto &[Name, Value] : Object.items()) {
-    if (std::ranges::find(Known, Name) != Known.end())
-      continue;
-    const auto Near = nearestName(Name, Known);
-    return Error{ErrorKind::UnknownSetting,
-                 Where + " has the unknown field '" + Name + "'",
-                 Near ? "did you mean '" + *Near + "'?" : "remove it"};
+    if (std::ranges::find(Known, Name) == Known.end())
+      return unknownFieldError(Where, Name, Known);
   }
   return std::nullopt;
 }
--- a/src/leases/internal/parseannouncement.cpp
+++ b/src/leases/internal/parseannouncement.cpp
@@ -15,7 +15,7 @@
 
 using nlohmann::json;
 
-constexpr std::size_t MaxText = 16 * 1024;
+constexpr std::size_t MaxText = std::size_t{16} << 10;
 constexpr std::size_t MaxName = 64;
 constexpr std::size_t MaxServices = 64;
 constexpr int64_t MaxSlots = 1024;
--- a/src/placement/internal/health.cpp
+++ b/src/placement/internal/health.cpp
@@ -114,13 +114,10 @@
     Service.Times.learn(RunTime);
   const bool Slow = Carried.LogRatio > std::log(State.Limits.SlowFactor) &&
                     Service.Times.samples() >= SamplesForSpeed;
-  if (Slow && Carried.Standing == Health::Good &&
-      mayDemote(State, Carried.Service))
+  const bool Good = Carried.Standing == Health::Good;
+  if (Slow && (Probing || (Good && mayDemote(State, Carried.Service))))
     demoteSlow(State, Backend, Carried, Now);
-  else if (Slow && Probing)
-    demoteSlow(State, Backend, Carried, Now);
-  else if (!Slow && Carried.Standing != Health::Good &&
-           (Probing || Carried.Standing == Health::Reserve) &&
+  else if (!Slow && !Good && (Probing || Carried.Standing == Health::Reserve) &&
            !looksFailing(State, Carried))
     restore(State, Backend, Carried);
 }
--- a/tests/endtoend/process.cpp
+++ b/tests/endtoend/process.cpp
@@ -14,6 +14,7 @@
 Process::Process(const std::vector<std::string> &Arguments,
                  const std::string &LogFile) {
   std::vector<char *> Pointers;
+  Pointers.reserve(Arguments.size() + 1);
   for (const std::string &Text : Arguments)
     Pointers.push_back(const_cast<char *>(Text.c_str()));
   Pointers.push_back(nullptr);
--- a/tests/standin/taskserver.cpp
+++ b/tests/standin/taskserver.cpp
@@ -15,7 +15,7 @@
 namespace {
 
 constexpr std::string_view RunPrefix = "/run/";
-constexpr ev_ssize_t MaxBody = 8 * 1024 * 1024;
+constexpr ev_ssize_t MaxBody = ev_ssize_t{8} << 20;
 
 void addHeader(evhttp_request *Request, const char *Name, const char *Value) {
   evhttp_add_header(evhttp_request_get_output_headers(Request), Name, Value);
