Name offered services and backoffs by their usual terms; fix a dangling view in a test

Cause: the read-through as a newcomer found 'carriage', 'rest' and 'distrust' in placement, and the run under ASan found that a test of frames looked at a payload whose buffer was a temporary string. In release it passed by chance. Ruled out: a fault in readFrame(), whose result points into the caller's buffer as documented. Change: OfferedService, backoff and assumeBusySlots; the test keeps the buffer. Conclusion: no change of behaviour.

--- a/bench/decisions/main.cpp
+++ b/bench/decisions/main.cpp
@@ -144,7 +144,7 @@
               "%llu, %llu | |\n",
               static_cast<unsigned long long>(Wary.Refusals),
               static_cast<unsigned long long>(Wary.FailedJobs));
-  std::printf("| the same without distrustSlots | | %llu, %llu | |\n",
+  std::printf("| the same without assumeBusySlots | | %llu, %llu | |\n",
               static_cast<unsigned long long>(Trusting.Refusals),
               static_cast<unsigned long long>(Trusting.FailedJobs));
 }
--- a/bench/decisions/scenarios.cpp
+++ b/bench/decisions/scenarios.cpp
@@ -182,7 +182,7 @@
                       WarmUp);
 }
 
-TakeoverFigures takeover(const SeedList &Seeds, bool DistrustSlots) {
+TakeoverFigures takeover(const SeedList &Seeds, bool AssumeBusySlots) {
   TakeoverFigures Figures;
   for (const uint64_t Seed : Seeds) {
     Trace Jobs = generateTrace(equalStreams(TeamCount, 0.9), WarmUp, Seed);
@@ -191,7 +191,7 @@
       Job.Arrival = std::max(Job.Arrival - WarmUp / 3, Duration{0});
     SimulationSetup Setup{.TeamCount = TeamCount};
     Setup.Takeover = true;
-    Setup.DistrustSlots = DistrustSlots;
+    Setup.AssumeBusySlots = AssumeBusySlots;
     const RunOutcome Run = Simulation(Jobs, Setup).run();
     Figures.Refusals += Run.Refusals;
     Figures.FailedJobs += static_cast<uint64_t>(
--- a/bench/decisions/scenarios.h
+++ b/bench/decisions/scenarios.h
@@ -62,7 +62,7 @@
 };
 
 /// A dispatcher takes over at 90 % load while all slots are still busy.
-TakeoverFigures takeover(const SeedList &Seeds, bool DistrustSlots);
+TakeoverFigures takeover(const SeedList &Seeds, bool AssumeBusySlots);
 
 struct OverloadFigures {
   /// Run time of jobs completed in time, as part of the capacity.
--- a/bench/decisions/simulation.cpp
+++ b/bench/decisions/simulation.cpp
@@ -218,8 +218,8 @@
       post(Duration{1'000'000} * Slot / SlotsPerWorker, EventKind::ForeignEnd,
            Worker);
   }
-  if (Setup.DistrustSlots)
-    distrustSlots(State, Instant{});
+  if (Setup.AssumeBusySlots)
+    assumeBusySlots(State, Instant{});
 }
 
 void Simulation::finish(uint32_t Job, JobEnd End) {
--- a/bench/decisions/simulation.h
+++ b/bench/decisions/simulation.h
@@ -29,7 +29,7 @@
   /// The dispatcher takes over at the start, while all slots hold tasks of its
   /// predecessor, and says so to placement or not.
   bool Takeover = false;
-  bool DistrustSlots = false;
+  bool AssumeBusySlots = false;
 };
 
 class Simulation {
--- a/src/daemon/internal/jobexecutor.cpp
+++ b/src/daemon/internal/jobexecutor.cpp
@@ -81,7 +81,7 @@
   schedulePump();
 }
 
-void JobExecutor::tookOver() { distrustSlots(State, Loop.now()); }
+void JobExecutor::tookOver() { assumeBusySlots(State, Loop.now()); }
 
 JobShape JobExecutor::shapeOf(const JobRequest &Job) const {
   return {Job.Team, Job.Service, static_cast<uint32_t>(Job.Tasks.size()),
--- a/src/framework/codec/tests/frame_test.cpp
+++ b/src/framework/codec/tests/frame_test.cpp
@@ -21,7 +21,9 @@
     REQUIRE_FALSE(isError(R));
     CHECK_FALSE(valueOf(R).has_value());
   }
-  const auto R = readFrame(Bytes + "next", 7, Secret, MaxFrameBytes);
+  // The payload points into the received bytes, which must outlive it.
+  const std::string Received = Bytes + "next";
+  const auto R = readFrame(Received, 7, Secret, MaxFrameBytes);
   CHECK(valueOf(R)->Payload == "payload");
   CHECK(valueOf(R)->TotalBytes == Bytes.size());
 }
--- a/src/placement/internal/backends.cpp
+++ b/src/placement/internal/backends.cpp
@@ -43,7 +43,7 @@
 }
 
 void countCarrier(PlacementState &State, const BackendRecord &Backend,
-                  const Carriage &Carried, bool Add) {
+                  const OfferedService &Carried, bool Add) {
   ServiceRecord &Service = State.Services[Carried.Service];
   const bool Good = Carried.Standing == Health::Good;
   const uint32_t Demoted = Good ? 0 : 1;
@@ -55,8 +55,9 @@
   Service.Slots = Add ? Service.Slots + Slots : Service.Slots - Slots;
 }
 
-Listing wantedListing(const BackendRecord &Backend, const Carriage &Carried) {
-  if (Backend.Removed || Backend.freeSlots() == 0 || Carried.Resting ||
+Listing wantedListing(const BackendRecord &Backend,
+                      const OfferedService &Carried) {
+  if (Backend.Removed || Backend.freeSlots() == 0 || Carried.BackingOff ||
       Carried.Standing == Health::Ejected ||
       Carried.Standing == Health::Probing)
     return Listing::None;
@@ -67,46 +68,48 @@
              : Listing::Preferred;
 }
 
-/// Takes a carriage out of all indexes, sums and timers.
-void detach(PlacementState &State, uint32_t Index, Carriage &Carried) {
+/// Takes a offered service out of all indexes, sums and timers.
+void detach(PlacementState &State, uint32_t Index, OfferedService &Carried) {
   BackendRecord &Backend = State.Backends[Index];
   const bool Removed = std::exchange(Backend.Removed, true);
   relist(State, Backend, Carried);
   Backend.Removed = Removed;
   countCarrier(State, Backend, Carried, false);
-  const uint64_t Owner = carriageOwner(Index, Carried.Service);
-  if (Carried.Resting)
-    State.Rests.cancel(Carried.RestUntil, Owner);
+  const uint64_t Owner = offeredOwner(Index, Carried.Service);
+  if (Carried.BackingOff)
+    State.Backoffs.cancel(Carried.BackoffUntil, Owner);
   State.Probes.cancel(Carried.ProbeAt, Owner);
-  Carried.Resting = false;
+  Carried.BackingOff = false;
 }
 
-/// Replaces the carriages of a backend server and keeps what was learned about
-/// the services that it still carries.
+/// Replaces the offered services of a backend server and keeps what was learned
+/// about the services that it still carries.
 void attachServices(PlacementState &State, uint32_t Index,
-                    std::vector<Carriage> Before) {
+                    std::vector<OfferedService> Before) {
   BackendRecord &Backend = State.Backends[Index];
   for (const std::string &Name : Backend.Spec.Services) {
     const uint32_t Number = serviceNumber(State, Name);
-    if (findCarriage(Backend, Number) != nullptr)
+    if (findOffered(Backend, Number) != nullptr)
       continue;
-    const auto Known = std::ranges::find(Before, Number, &Carriage::Service);
-    Carriage Carried;
+    const auto Known =
+        std::ranges::find(Before, Number, &OfferedService::Service);
+    OfferedService Carried;
     if (Known != Before.end())
       Carried = *Known;
     Carried.Service = Number;
-    Backend.Carriages.push_back(Carried);
+    Backend.OfferedServices.push_back(Carried);
     countCarrier(State, Backend, Carried, true);
     if (Carried.ProbeAt != Instant::max())
-      State.Probes.schedule(Carried.ProbeAt, carriageOwner(Index, Number));
+      State.Probes.schedule(Carried.ProbeAt, offeredOwner(Index, Number));
   }
   relistAll(State, Backend);
 }
 
-std::vector<Carriage> detachServices(PlacementState &State, uint32_t Index) {
-  for (Carriage &Carried : State.Backends[Index].Carriages)
+std::vector<OfferedService> detachServices(PlacementState &State,
+                                           uint32_t Index) {
+  for (OfferedService &Carried : State.Backends[Index].OfferedServices)
     detach(State, Index, Carried);
-  return std::exchange(State.Backends[Index].Carriages, {});
+  return std::exchange(State.Backends[Index].OfferedServices, {});
 }
 
 uint32_t newBackend(PlacementState &State, const BackendSpec &Spec) {
@@ -125,13 +128,15 @@
 
 } // namespace
 
-Carriage *findCarriage(BackendRecord &Backend, uint32_t Service) {
-  const auto Found =
-      std::ranges::find(Backend.Carriages, Service, &Carriage::Service);
-  return Found == Backend.Carriages.end() ? nullptr : std::to_address(Found);
+OfferedService *findOffered(BackendRecord &Backend, uint32_t Service) {
+  const auto Found = std::ranges::find(Backend.OfferedServices, Service,
+                                       &OfferedService::Service);
+  return Found == Backend.OfferedServices.end() ? nullptr
+                                                : std::to_address(Found);
 }
 
-void relist(PlacementState &State, BackendRecord &Backend, Carriage &Carried) {
+void relist(PlacementState &State, BackendRecord &Backend,
+            OfferedService &Carried) {
   const Listing Wanted = wantedListing(Backend, Carried);
   const uint32_t Level = std::min(Backend.freeSlots(), SlotIndex::MaxLevel);
   if (Wanted == Carried.Listed &&
@@ -161,12 +166,12 @@
 }
 
 void relistAll(PlacementState &State, BackendRecord &Backend) {
-  for (Carriage &Carried : Backend.Carriages)
+  for (OfferedService &Carried : Backend.OfferedServices)
     relist(State, Backend, Carried);
 }
 
 void setStanding(PlacementState &State, BackendRecord &Backend,
-                 Carriage &Carried, Health Standing) {
+                 OfferedService &Carried, Health Standing) {
   countCarrier(State, Backend, Carried, false);
   Carried.Standing = Standing;
   countCarrier(State, Backend, Carried, true);
@@ -183,20 +188,20 @@
   return Record.Demoted + 1 <= State.Limits.EjectedShare * Record.Carriers;
 }
 
-void restUntil(PlacementState &State, uint32_t Backend, Carriage &Carried,
-               Instant Until) {
-  const uint64_t Owner = carriageOwner(Backend, Carried.Service);
-  if (Carried.Resting)
-    State.Rests.cancel(Carried.RestUntil, Owner);
-  Carried.RestUntil = Until;
-  Carried.Resting = true;
-  State.Rests.schedule(Until, Owner);
+void backOffUntil(PlacementState &State, uint32_t Backend,
+                  OfferedService &Carried, Instant Until) {
+  const uint64_t Owner = offeredOwner(Backend, Carried.Service);
+  if (Carried.BackingOff)
+    State.Backoffs.cancel(Carried.BackoffUntil, Owner);
+  Carried.BackoffUntil = Until;
+  Carried.BackingOff = true;
+  State.Backoffs.schedule(Until, Owner);
   relist(State, State.Backends[Backend], Carried);
 }
 
-void probeAt(PlacementState &State, uint32_t Backend, Carriage &Carried,
+void probeAt(PlacementState &State, uint32_t Backend, OfferedService &Carried,
              Instant At) {
-  const uint64_t Owner = carriageOwner(Backend, Carried.Service);
+  const uint64_t Owner = offeredOwner(Backend, Carried.Service);
   State.Probes.cancel(Carried.ProbeAt, Owner);
   Carried.ProbeAt = At;
   if (At != Instant::max())
@@ -204,15 +209,17 @@
 }
 
 void handleTimers(PlacementState &State, Instant Now) {
-  while (const auto Owner = State.Rests.takeDue(Now)) {
+  while (const auto Owner = State.Backoffs.takeDue(Now)) {
     BackendRecord &Backend = State.Backends[*Owner >> 32];
-    Carriage *Carried = findCarriage(Backend, static_cast<uint32_t>(*Owner));
-    Carried->Resting = false;
+    OfferedService *Carried =
+        findOffered(Backend, static_cast<uint32_t>(*Owner));
+    Carried->BackingOff = false;
     relist(State, Backend, *Carried);
   }
   while (const auto Owner = State.Probes.takeDue(Now)) {
     BackendRecord &Backend = State.Backends[*Owner >> 32];
-    Carriage *Carried = findCarriage(Backend, static_cast<uint32_t>(*Owner));
+    OfferedService *Carried =
+        findOffered(Backend, static_cast<uint32_t>(*Owner));
     Carried->ProbeAt = Instant::max();
     Carried->ProbeByAny =
         Carried->Slow || Carried->Standing == Health::ProbeDue;
@@ -243,7 +250,7 @@
   BackendRecord &Backend = State.Backends[Index];
   if (Known && !Backend.Removed && Backend.Spec == Spec)
     return;
-  std::vector<Carriage> Before = detail::detachServices(State, Index);
+  std::vector<OfferedService> Before = detail::detachServices(State, Index);
   if (Known && !Backend.Removed)
     State.Slots -= Backend.Spec.Slots;
   if (Backend.Spec.Rack != Spec.Rack) {
@@ -257,7 +264,7 @@
   detail::attachServices(State, Index, std::move(Before));
 }
 
-void distrustSlots(PlacementState &State, Instant Now) {
+void assumeBusySlots(PlacementState &State, Instant Now) {
   for (BackendRecord &Backend : State.Backends)
     Backend.CautiousUntil = Now + State.Limits.Caution;
 }
@@ -282,7 +289,8 @@
   const auto Found = State.BackendNumbers.find(Id);
   if (Found == State.BackendNumbers.end())
     return Names;
-  for (const Carriage &Carried : State.Backends[Found->second].Carriages)
+  for (const OfferedService &Carried :
+       State.Backends[Found->second].OfferedServices)
     if (Carried.Standing == Health::Ejected)
       Names.push_back(State.Services[Carried.Service].Spec.Name);
   return Names;
--- a/src/placement/internal/backends.h
+++ b/src/placement/internal/backends.h
@@ -8,32 +8,35 @@
 namespace sapphiremoor::detail {
 
 /// Packs a backend server and a service into the owner number of a timer.
-constexpr uint64_t carriageOwner(uint32_t Backend, uint32_t Service) {
+constexpr uint64_t offeredOwner(uint32_t Backend, uint32_t Service) {
   return uint64_t{Backend} << 32 | Service;
 }
 
-/// Returns the carriage of \p Service, or nothing if it is carried no more.
-Carriage *findCarriage(BackendRecord &Backend, uint32_t Service);
+/// Returns the offered service of \p Service, or nothing if it is carried no
+/// more.
+OfferedService *findOffered(BackendRecord &Backend, uint32_t Service);
 
-/// Puts a carriage into the index that its standing and free slots demand.
-void relist(PlacementState &State, BackendRecord &Backend, Carriage &Carried);
+/// Puts a offered service into the index that its standing and free slots
+/// demand.
+void relist(PlacementState &State, BackendRecord &Backend,
+            OfferedService &Carried);
 void relistAll(PlacementState &State, BackendRecord &Backend);
 
 /// Changes the standing and keeps the number of demoted carriers.
 void setStanding(PlacementState &State, BackendRecord &Backend,
-                 Carriage &Carried, Health Standing);
+                 OfferedService &Carried, Health Standing);
 
 /// Returns true if the cap leaves room to eject one more carrier, or to use
 /// one more last because it is slow.
 bool mayEject(const PlacementState &State, uint32_t Service);
 bool mayDemote(const PlacementState &State, uint32_t Service);
 
-void restUntil(PlacementState &State, uint32_t Backend, Carriage &Carried,
-               Instant Until);
-void probeAt(PlacementState &State, uint32_t Backend, Carriage &Carried,
+void backOffUntil(PlacementState &State, uint32_t Backend,
+                  OfferedService &Carried, Instant Until);
+void probeAt(PlacementState &State, uint32_t Backend, OfferedService &Carried,
              Instant At);
 
-/// Ends rests and ejections that are due.
+/// Ends backoffs and ejections that are due.
 void handleTimers(PlacementState &State, Instant Now);
 
 /// Forgets a removed backend server without running tasks.
--- a/src/placement/internal/finishes.cpp
+++ b/src/placement/internal/finishes.cpp
@@ -78,7 +78,7 @@
   --Backend.Running;
   --Job.Running;
   detail::settle(State, Job, Ended, Outcome, RunTime);
-  if (Carriage *Carried = detail::findCarriage(Backend, Job.Service))
+  if (OfferedService *Carried = detail::findOffered(Backend, Job.Service))
     detail::judge(State, Ended.Backend, *Carried, Outcome, RunTime, Now);
   detail::relistAll(State, Backend);
   const FinishDecision Decision =
--- a/src/placement/internal/health.cpp
+++ b/src/placement/internal/health.cpp
@@ -14,21 +14,22 @@
 constexpr double FailureWeight = 0.02;
 // With more failures than this the service is at fault, not its workers.
 constexpr double BadService = 0.5;
-// Below this part of the retry budget a refusal leads to the longest rest.
+// Below this part of the retry budget a refusal leads to the longest backoff.
 constexpr double LowBudget = 0.75;
 constexpr double SpeedWeight = 0.2;
 constexpr double ProbeWeight = 0.5;
 // A mean learned from fewer tasks is no measure for a worker's speed.
 constexpr uint64_t SamplesForSpeed = 32;
 
-bool looksFailing(const PlacementState &State, const Carriage &Carried) {
+bool looksFailing(const PlacementState &State, const OfferedService &Carried) {
   if (Carried.FailuresInRow >= State.Limits.FailuresInRow)
     return true;
   const auto Failures = static_cast<uint32_t>(std::popcount(Carried.Outcomes));
   return Carried.OutcomeCount == OutcomeWindow && Failures * 2 > OutcomeWindow;
 }
 
-void recordOutcome(ServiceRecord &Service, Carriage &Carried, bool Failure) {
+void recordOutcome(ServiceRecord &Service, OfferedService &Carried,
+                   bool Failure) {
   Carried.FailuresInRow = Failure ? Carried.FailuresInRow + 1 : 0;
   Carried.Outcomes = static_cast<uint16_t>(
       ((Carried.Outcomes << 1) | (Failure ? 1 : 0)) & OutcomeMask);
@@ -38,13 +39,13 @@
       FailureWeight * ((Failure ? 1 : 0) - Service.FailureShare);
 }
 
-void forgetOutcomes(Carriage &Carried) {
+void forgetOutcomes(OfferedService &Carried) {
   Carried.FailuresInRow = 0;
   Carried.Outcomes = 0;
   Carried.OutcomeCount = 0;
 }
 
-void eject(PlacementState &State, uint32_t Backend, Carriage &Carried,
+void eject(PlacementState &State, uint32_t Backend, OfferedService &Carried,
            Instant Now) {
   Carried.Ejection =
       Carried.Ejection == Duration{0}
@@ -58,17 +59,18 @@
 /// Keeps a worker that fails quickly from taking more than its part of the
 /// work: its slots stay closed for the time that a success would have taken.
 void restAfterQuickFailure(PlacementState &State, uint32_t Backend,
-                           Carriage &Carried, Duration RunTime, Instant Now) {
+                           OfferedService &Carried, Duration RunTime,
+                           Instant Now) {
   const Duration Mean = State.Services[Carried.Service].Times.mean();
   const int64_t Slots = std::max(State.Backends[Backend].Spec.Slots, 1U);
   if (RunTime >= Mean || Carried.Standing == Health::Ejected)
     return;
-  const Instant From = std::max(Carried.RestUntil, Now);
-  restUntil(State, Backend, Carried, From + (Mean - RunTime) / Slots);
+  const Instant From = std::max(Carried.BackoffUntil, Now);
+  backOffUntil(State, Backend, Carried, From + (Mean - RunTime) / Slots);
 }
 
-void judgeFailure(PlacementState &State, uint32_t Backend, Carriage &Carried,
-                  Duration RunTime, Instant Now) {
+void judgeFailure(PlacementState &State, uint32_t Backend,
+                  OfferedService &Carried, Duration RunTime, Instant Now) {
   ServiceRecord &Service = State.Services[Carried.Service];
   recordOutcome(Service, Carried, true);
   State.Backends[Backend].RefusalsInRow = 0;
@@ -88,22 +90,22 @@
     setStanding(State, State.Backends[Backend], Carried, Health::Reserve);
 }
 
-void demoteSlow(PlacementState &State, uint32_t Backend, Carriage &Carried,
-                Instant Now) {
+void demoteSlow(PlacementState &State, uint32_t Backend,
+                OfferedService &Carried, Instant Now) {
   Carried.Slow = true;
   setStanding(State, State.Backends[Backend], Carried, Health::Reserve);
   probeAt(State, Backend, Carried, Now + State.Limits.SlowProbe);
 }
 
-void restore(PlacementState &State, uint32_t Backend, Carriage &Carried) {
+void restore(PlacementState &State, uint32_t Backend, OfferedService &Carried) {
   Carried.Slow = false;
   Carried.Ejection = Duration{0};
   probeAt(State, Backend, Carried, Instant::max());
   setStanding(State, State.Backends[Backend], Carried, Health::Good);
 }
 
-void judgeSpeed(PlacementState &State, uint32_t Backend, Carriage &Carried,
-                Duration RunTime, Instant Now) {
+void judgeSpeed(PlacementState &State, uint32_t Backend,
+                OfferedService &Carried, Duration RunTime, Instant Now) {
   ServiceRecord &Service = State.Services[Carried.Service];
   const double Mean = static_cast<double>(Service.Times.mean().count());
   const double Us = static_cast<double>(std::max<int64_t>(RunTime.count(), 1));
@@ -122,8 +124,8 @@
     restore(State, Backend, Carried);
 }
 
-void judgeRefusal(PlacementState &State, uint32_t Backend, Carriage &Carried,
-                  Instant Now) {
+void judgeRefusal(PlacementState &State, uint32_t Backend,
+                  OfferedService &Carried, Instant Now) {
   BackendRecord &Record = State.Backends[Backend];
   const ServiceRecord &Service = State.Services[Carried.Service];
   // Starts sent before the first refusal arrived say nothing new.
@@ -136,18 +138,20 @@
   const bool BudgetLow =
       Service.RetryTokens < LowBudget * State.Limits.RetryTokens;
   const Duration Wanted =
-      std::max(State.Limits.FirstRest, PerSlot) * (1 << Doublings);
-  const Duration Rest = BudgetLow ? State.Limits.LongestRest
-                                  : std::min(Wanted, State.Limits.LongestRest);
-  Record.RefusedUntil = Now + Rest;
+      std::max(State.Limits.FirstBackoff, PerSlot) * (1 << Doublings);
+  const Duration Backoff = BudgetLow
+                               ? State.Limits.LongestBackoff
+                               : std::min(Wanted, State.Limits.LongestBackoff);
+  Record.RefusedUntil = Now + Backoff;
   Record.CautiousUntil = Record.RefusedUntil + State.Limits.Caution;
-  for (Carriage &Each : Record.Carriages)
-    restUntil(State, Backend, Each, std::max(Each.RestUntil, Now + Rest));
+  for (OfferedService &Each : Record.OfferedServices)
+    backOffUntil(State, Backend, Each,
+                 std::max(Each.BackoffUntil, Now + Backoff));
 }
 
 } // namespace
 
-void judge(PlacementState &State, uint32_t Backend, Carriage &Carried,
+void judge(PlacementState &State, uint32_t Backend, OfferedService &Carried,
            TaskOutcome Outcome, Duration RunTime, Instant Now) {
   BackendRecord &Record = State.Backends[Backend];
   switch (Outcome) {
--- a/src/placement/internal/health.h
+++ b/src/placement/internal/health.h
@@ -8,8 +8,8 @@
 
 namespace sapphiremoor::detail {
 
-/// Learns from one outcome and changes the standing of the carriage.
-void judge(PlacementState &State, uint32_t Backend, Carriage &Carried,
+/// Learns from one outcome and changes the standing of the offered service.
+void judge(PlacementState &State, uint32_t Backend, OfferedService &Carried,
            TaskOutcome Outcome, Duration RunTime, Instant Now);
 
 } // namespace sapphiremoor::detail
--- a/src/placement/internal/queues.cpp
+++ b/src/placement/internal/queues.cpp
@@ -90,7 +90,7 @@
                   uint32_t Backend, uint32_t ServiceIndex) {
   if (Service.Demoted >= Service.Carriers || Service.Slots == 0)
     return true;
-  for (const Carriage &Carried : State.Backends[Backend].Carriages)
+  for (const OfferedService &Carried : State.Backends[Backend].OfferedServices)
     if (Carried.Service == ServiceIndex && Carried.Slow)
       return static_cast<double>(Service.Queued) >
              (std::exp(Carried.LogRatio) - 1) *
--- a/src/placement/internal/starts.cpp
+++ b/src/placement/internal/starts.cpp
@@ -19,7 +19,7 @@
 void occupy(PlacementState &State, uint32_t BackendIndex, uint32_t Service,
             Instant Now) {
   BackendRecord &Backend = State.Backends[BackendIndex];
-  Carriage *Carried = findCarriage(Backend, Service);
+  OfferedService *Carried = findOffered(Backend, Service);
   State.Services[Service].Preferred.advance(Backend.Position);
   ++Backend.Running;
   if (Carried->Standing == Health::ProbeDue) {
@@ -27,9 +27,10 @@
     setStanding(State, Backend, *Carried, Health::Probing);
   }
   if (Now < Backend.CautiousUntil)
-    for (Carriage &Each : Backend.Carriages)
-      restUntil(State, BackendIndex, Each,
-                std::max(Each.RestUntil, Now + State.Limits.FirstRest));
+    for (OfferedService &Each : Backend.OfferedServices)
+      backOffUntil(
+          State, BackendIndex, Each,
+          std::max(Each.BackoffUntil, Now + State.Limits.FirstBackoff));
   relistAll(State, Backend);
 }
 
@@ -148,7 +149,7 @@
     return Instant{};
   std::optional<Instant> Next;
   for (const TimerQueue *Timers :
-       {&State.Probes, &State.Rests, &State.Hedges, &State.Deadlines}) {
+       {&State.Probes, &State.Backoffs, &State.Hedges, &State.Deadlines}) {
     const std::optional<Instant> First = Timers->first();
     if (First && (!Next || *First < *Next))
       Next = First;
--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -39,7 +39,7 @@
 /// dispatcher. To be called by a dispatcher that takes over: for 2 s each
 /// backend server gets one start per 10 ms, so that refusals arrive before
 /// they use up the retry budget.
-void distrustSlots(PlacementState &State, Instant Now);
+void assumeBusySlots(PlacementState &State, Instant Now);
 
 /// Returns whether the job may be queued. Errors: Impossible if no known
 /// backend server can ever run it; Overloaded if the queue is full or the
--- a/src/placement/placementstate.h
+++ b/src/placement/placementstate.h
@@ -40,7 +40,7 @@
 
   std::set<ReadyKey> Ready;
   TimerQueue Probes;
-  TimerQueue Rests;
+  TimerQueue Backoffs;
   TimerQueue Hedges;
   TimerQueue Deadlines;
   /// Queued tasks past their deadline that expireTasks has not returned yet.
--- a/src/placement/tests/health_test.cpp
+++ b/src/placement/tests/health_test.cpp
@@ -175,7 +175,7 @@
   upsertBackend(State, backend("b1", 2), at(0));
   enqueueJob(State, JobNumber{1}, shape("alpha", 2), at(0));
   auto Starts = nextStarts(State, at(0));
-  // Both refusals answer starts of the same moment: one rest, not doubled.
+  // Both refusals answer starts of the same moment: one backoff, not doubled.
   for (const TaskStart &Start : Starts)
     CHECK(taskFinished(State, Start, TaskOutcome::NotStarted, ms(1), at(1)) ==
           FinishDecision::Requeued);
@@ -193,7 +193,7 @@
 TEST_CASE("a dispatcher that takes over fills the slots one by one") {
   PlacementState State = makeState();
   upsertBackend(State, backend("b1", 3), at(0));
-  distrustSlots(State, at(0));
+  assumeBusySlots(State, at(0));
   enqueueJob(State, JobNumber{1}, shape("alpha", 9), at(0));
   CHECK(nextStarts(State, at(0)).size() == 1);
   CHECK(nextStarts(State, at(9)).empty());
@@ -204,8 +204,8 @@
 
 TEST_CASE("the retry budget bounds how often a task is queued again") {
   PlacementState State = makeState();
-  State.Limits.FirstRest = Duration{0};
-  State.Limits.LongestRest = Duration{0};
+  State.Limits.FirstBackoff = Duration{0};
+  State.Limits.LongestBackoff = Duration{0};
   upsertBackend(State, backend("b1", 1), at(0));
   enqueueJob(State, JobNumber{1}, shape("alpha", 1'000), at(0));
   int Requeued = 0;
--- a/src/placement/tests/property_test.cpp
+++ b/src/placement/tests/property_test.cpp
@@ -42,7 +42,7 @@
       break;
     case 4:
       if (draw(4) == 0)
-        distrustSlots(State, Now);
+        assumeBusySlots(State, Now);
       break;
     default:
       for (uint64_t Count = draw(6); Count > 0 && !Running.empty(); --Count)
--- a/src/placement/types/backendrecord.h
+++ b/src/placement/types/backendrecord.h
@@ -25,7 +25,7 @@
 enum class Listing : uint8_t { None, Preferred, Reserve, Probe };
 
 /// One service on one backend server.
-struct Carriage {
+struct OfferedService {
   uint32_t Service = 0;
   Health Standing = Health::Good;
   /// True if speed, not outcome, led to the standing.
@@ -42,9 +42,9 @@
   /// Weighted mean of log(run time / mean of the service).
   double LogRatio = 0;
   Duration Ejection{0};
-  /// No start before this instant; the timer is set while Resting.
-  Instant RestUntil{};
-  bool Resting = false;
+  /// No start before this instant; the timer is set while BackingOff.
+  Instant BackoffUntil{};
+  bool BackingOff = false;
   /// End of the ejection, the next try of a slow worker, or the end of the
   /// wait for a single request to probe with.
   Instant ProbeAt = Instant::max();
@@ -53,10 +53,10 @@
 /// A backend server in the placement state.
 struct BackendRecord {
   BackendSpec Spec;
-  std::vector<Carriage> Carriages;
+  std::vector<OfferedService> OfferedServices;
   uint32_t Running = 0;
   uint32_t RefusalsInRow = 0;
-  /// End of the rest after a refusal.
+  /// End of the backoff after a refusal.
   Instant RefusedUntil{};
   /// Until then its slots may hold tasks of another dispatcher, so that starts
   /// follow each other slowly enough for a refusal to arrive in between.
--- a/src/placement/types/placementlimits.h
+++ b/src/placement/types/placementlimits.h
@@ -30,13 +30,13 @@
   /// Time for which a probe waits for a single request: a failed probe then
   /// costs one request instead of a job of many tasks.
   Duration ProbePatience{1'000'000};
-  /// Least rest of a backend server after its first refusal as busy, doubled
+  /// Least backoff of a backend server after its first refusal as busy, doubled
   /// for each further one in a row up to the longest. With three quarters of
-  /// the retry budget left or less each rest is the longest.
-  Duration FirstRest{10'000};
-  Duration LongestRest{1'000'000};
+  /// the retry budget left or less each backoff is the longest.
+  Duration FirstBackoff{10'000};
+  Duration LongestBackoff{1'000'000};
   /// Time after a refusal or a takeover for which a backend server gets one
-  /// start per FirstRest.
+  /// start per FirstBackoff.
   Duration Caution{2'000'000};
   /// A team within its quota is served before all others. Its unused quota
   /// counts for at most QuotaBurst, its overuse for at most QuotaDebt, both as
