--- a/src/cluster/internal/stopsequence.cpp
+++ b/src/cluster/internal/stopsequence.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <csignal>
-#include <utility>
 
 namespace sapphiremoor {
 
@@ -45,8 +44,7 @@
   const Duration Notice = std::min(NoticeTime, Limit / 2);
   if (Elapsed < Notice)
     return;
-  if (!std::exchange(Closing, true))
-    Of.CloseConnections();
+  Of.CloseConnections();
   IdleChecks = Of.Idle() ? IdleChecks + 1 : 0;
   if (IdleChecks >= IdleChecksNeeded || Elapsed > Limit - ExitMargin)
     Loop.stop();
--- a/src/cluster/stopsequence.h
+++ b/src/cluster/stopsequence.h
@@ -16,7 +16,7 @@
   struct Steps {
     /// Tells others that this VM is leaving.
     std::function<void()> Announce;
-    /// Turns away callers that have not noticed.
+    /// Turns away callers that have not noticed; called several times.
     std::function<void()> CloseConnections;
     std::function<bool()> Idle;
   };
@@ -31,7 +31,6 @@
   Duration Limit;
   Steps Of;
   bool Stopping = false;
-  bool Closing = false;
   Instant Since;
   int IdleChecks = 0;
   Timer CheckTimer;
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -173,7 +173,9 @@
   void giveUpBackend(Backend &Of, const std::string &Why);
   void tickBackend(Backend &Of, Instant Now);
   void repeatStops(Backend &Of, Instant Now);
-  void learnPace(Backend &Of, const Run &Ended, Instant Now);
+  void learnPace(const Backend &Of, const Run &Ended, Instant Now);
+  /// Smoothed ratio of run times to estimates on machines of this kind.
+  double paceOf(const Backend &Of) const;
   void log(const Backend &On, const TaskId &Task, uint64_t Number,
            const std::string &What);
   uint64_t tokenOf(uint64_t Term) const;
@@ -189,6 +191,8 @@
   /// Where each run is that may be active.
   std::map<TaskId, std::string> LiveRuns;
   std::map<std::string, DispatchLoad> Peers;
+  /// By the first label of backend servers, which names the kind of machine.
+  std::map<std::string, double> KindPaces;
   /// Smoothed size and length of the tasks that came in.
   Resources UsualNeed;
   Duration UsualLength{0};
--- a/src/dispatch/internal/backendstate.h
+++ b/src/dispatch/internal/backendstate.h
@@ -68,8 +68,6 @@
   Instant NextHold;
   /// Gets no new tasks and is handed to another owner once it is empty.
   bool Releasing = false;
-  /// Smoothed ratio of run times to estimates.
-  double Pace = 1;
 
   Resources room() const { return Report.Capacity - Used; }
 };
--- a/src/dispatch/internal/dispatcherownership.cpp
+++ b/src/dispatch/internal/dispatcherownership.cpp
@@ -149,7 +149,6 @@
     runGone(Of, Task, Now);
   Of.Clock = {};
   Of.Health = {};
-  Of.Pace = 1;
   Of.Life = NextLife++;
   Of.ConfirmedEnds = 0;
   Of.HoldOpen = false;
--- a/src/dispatch/internal/dispatcherplacement.cpp
+++ b/src/dispatch/internal/dispatcherplacement.cpp
@@ -17,7 +17,11 @@
 constexpr int64_t MostPlaces = 64;
 
 /// Differences of the pace below this are noise of the estimates.
-constexpr double PaceStep = 0.25;
+constexpr double PaceStep = 0.15;
+
+/// A task whose estimate exceeds this share of the time left may not be done in
+/// time on a slow machine.
+constexpr double TightShare = 0.45;
 
 int64_t placesFor(const Resources &Need, const Resources &Room) {
   int64_t Places = MostPlaces;
@@ -55,7 +59,7 @@
                      Duration::zero());
     for (const auto &[Task, Each] : Of.Runs) {
       const auto Length = std::chrono::duration_cast<Duration>(
-          Of.Pace * Each.Estimate);
+          paceOf(Of) * Each.Estimate);
       const Duration Left = Length - (Now - Each.Ordered);
       FreeAfter.push_back(std::max(Left, Each.Estimate / 5));
     }
@@ -215,6 +219,10 @@
 Dispatcher::Backend *Dispatcher::choose(const Job &Of, std::size_t Step,
                                         const TaskState &Task, Instant Now) {
   const StepRequest &Shape = Of.Request.Steps[Step];
+  // Long tasks get the fast machines, which the others leave free for them.
+  const bool Tight =
+      std::chrono::milliseconds(Shape.EstimateMs) >
+      TightShare * std::chrono::duration<double, std::micro>(Of.Deadline - Now);
   Backend *Best = nullptr;
   std::tuple<bool, bool, bool, double, int64_t> BestRank;
   for (auto &[Id, Each] : Backends) {
@@ -222,9 +230,10 @@
       continue;
     const bool FarFromData =
         !Shape.DataRack.empty() && !hasLabel(Each.Report, Shape.DataRack);
+    const double Pace = std::round(paceOf(Each) / PaceStep);
     const std::tuple Rank(Id == Task.Avoid, FarFromData,
                           Each.Health.FailuresInRow > 0,
-                          std::round(Each.Pace / PaceStep),
+                          Tight ? Pace : -Pace,
                           (Each.room() - Shape.Need).MilliCores);
     if (Best != nullptr && Rank >= BestRank)
       continue;
--- a/src/dispatch/internal/dispatcherruns.cpp
+++ b/src/dispatch/internal/dispatcherruns.cpp
@@ -15,8 +15,9 @@
 /// Share of the estimate after which the progress of a run tells its speed.
 constexpr double ProgressShare = 0.1;
 
-/// Weight of the newest run in the pace of a backend server.
-constexpr double PaceWeight = 0.2;
+/// Weight of the newest run in the pace of a kind of machine. Estimates are
+/// rough, so that many runs have to count.
+constexpr double PaceWeight = 0.02;
 
 } // namespace
 
@@ -337,12 +338,21 @@
   }
 }
 
-void Dispatcher::learnPace(Backend &Of, const Run &Ended, Instant Now) {
-  if (Ended.Estimate <= Duration::zero() || !Ended.SeenAt)
+double Dispatcher::paceOf(const Backend &Of) const {
+  if (Of.Report.Labels.empty())
+    return 1;
+  const auto Found = KindPaces.find(Of.Report.Labels.front());
+  return Found == KindPaces.end() ? 1 : Found->second;
+}
+
+void Dispatcher::learnPace(const Backend &Of, const Run &Ended, Instant Now) {
+  if (Ended.Estimate <= Duration::zero() || !Ended.SeenAt ||
+      Of.Report.Labels.empty())
     return;
   const double Ratio = std::chrono::duration<double>(Now - *Ended.SeenAt) /
                        std::chrono::duration<double>(Ended.Estimate);
-  Of.Pace += PaceWeight * (std::clamp(Ratio, 0.2, 8.0) - Of.Pace);
+  double &Pace = KindPaces.try_emplace(Of.Report.Labels.front(), 1).first->second;
+  Pace += PaceWeight * (std::clamp(Ratio, 0.25, 4.0) - Pace);
 }
 
 } // namespace sapphiremoor
--- a/src/framework/net/httpserver.h
+++ b/src/framework/net/httpserver.h
@@ -70,6 +70,9 @@
   /// another VM.
   void closeAfterResponses();
 
+  /// Closes the connections on which no request is being received or answered.
+  void closeIdleConnections();
+
   /// Returns the number of requests that await their response.
   std::size_t openRequests() const;
 
--- a/src/framework/net/internal/httpserver.cpp
+++ b/src/framework/net/internal/httpserver.cpp
@@ -11,6 +11,7 @@
 #include <sys/socket.h>
 
 #include <string_view>
+#include <unordered_set>
 #include <utility>
 
 namespace sapphiremoor {
@@ -102,11 +103,14 @@
   std::size_t OpenRequests = 0;
   bool Destroying = false;
   bool ClosingConnections = false;
+  /// Connections with a request that awaits its response.
+  std::unordered_set<bufferevent *> Busy;
 };
 
 /// The life of one request between its arrival and its response.
 struct Responder::State {
   evhttp_request *Request = nullptr;
+  bufferevent *Connection = nullptr;
   std::shared_ptr<HttpServer::Shared> Server;
 
   ~State() {
@@ -118,6 +122,7 @@
 
   evhttp_request *finish() {
     --Server->OpenRequests;
+    Server->Busy.erase(Connection);
     return std::exchange(Request, nullptr);
   }
 
@@ -241,6 +246,17 @@
 
 void HttpServer::closeAfterResponses() { Common->ClosingConnections = true; }
 
+void HttpServer::closeIdleConnections() {
+  for (const auto &[Connection, Watched] : Guards) {
+    if (Watched->freed() || Watched->Receiving ||
+        Common->Busy.contains(Connection) ||
+        evbuffer_get_length(bufferevent_get_output(Connection)) > 0)
+      continue;
+    // evhttp notices the end of file and cleans up.
+    shutdown(bufferevent_getfd(Connection), SHUT_RDWR);
+  }
+}
+
 void HttpServer::stopListening() {
   if (Bound != nullptr)
     evhttp_del_accept_socket(Http, Bound);
@@ -281,8 +297,11 @@
              IPPROTO_TCP, TCP_NODELAY, &One, sizeof(One));
   auto Pending = std::make_shared<Responder::State>();
   Pending->Request = Request;
+  Pending->Connection =
+      evhttp_connection_get_bufferevent(evhttp_request_get_connection(Request));
   Pending->Server = Common;
   ++Common->OpenRequests;
+  Common->Busy.insert(Pending->Connection);
   evhttp_connection_set_closecb(evhttp_request_get_connection(Request),
                                 Responder::State::onClose, Pending.get());
   const Responder Answer(std::move(Pending));
