Refuse waiting jobs by a forecast and end runs that cannot be in time

Cause: jobs that were admitted waited past a quarter of their objective when more urgent ones came later, and runs that could not meet the deadline were kept to it. Ruled out: a fixed margin at admission.

--- a/src/cluster/entrynode.h
+++ b/src/cluster/entrynode.h
@@ -56,7 +56,7 @@
     Instant Deadline;
     /// The link to the target broke at this time.
     std::optional<Instant> LostAt;
-    bool MayRedirect = true;
+    uint8_t Redirects = 0;
   };
   /// A question to several dispatchers.
   struct OpenQuery {
--- a/src/cluster/internal/dispatchservice.cpp
+++ b/src/cluster/internal/dispatchservice.cpp
@@ -61,7 +61,7 @@
                       JobReason::Overloaded, 0, {}});
     return;
   }
-  Decisions.submit(Message.Job, Source, Message.MayRedirect, Loop.now());
+  Decisions.submit(Message.Job, Source, Message.Redirects, Loop.now());
   run();
 }
 
--- a/src/cluster/internal/entrynode.cpp
+++ b/src/cluster/internal/entrynode.cpp
@@ -25,6 +25,20 @@
 constexpr Duration QueryLimit = std::chrono::milliseconds(700);
 constexpr Duration ConfigurationRetry = std::chrono::milliseconds(300);
 
+std::size_t taskCount(const JobSubmission &Of) {
+  std::size_t Count = 0;
+  for (const StepRequest &Step : Of.Steps)
+    Count += Step.Count;
+  return Count;
+}
+
+int64_t longestEstimate(const JobSubmission &Of) {
+  int64_t LongestMs = 0;
+  for (const StepRequest &Step : Of.Steps)
+    LongestMs = std::max(LongestMs, Step.EstimateMs);
+  return LongestMs;
+}
+
 int64_t millisecondsOf(Duration Of) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(Of).count();
 }
@@ -109,7 +123,7 @@
   const auto Link = Linked.find(To);
   if (Link == Linked.end())
     return false;
-  SubmitJob Message{Number, Job.MayRedirect, Job.Request};
+  SubmitJob Message{Number, Job.Redirects, Job.Request};
   Message.Job.DeadlineMs = millisecondsOf(Job.Deadline - Loop.now());
   if (Message.Job.DeadlineMs <= 0 || !Bus.send(To, Message))
     return false;
@@ -141,7 +155,7 @@
     finish(Found->first, Answer);
     return;
   }
-  Job.MayRedirect = false;
+  ++Job.Redirects;
   if (handOver(Found->first, Job, Answer.Target) ||
       handOver(Found->first, Job, From.Name))
     return;
@@ -166,6 +180,10 @@
             {"result", std::string(resultName(Answer.Result))},
             {"reason", std::string(reasonName(Answer.Reason))},
             {"dispatcher", Job.Target.Name},
+            {"priority", std::to_string(Job.Request.Policy.Priority)},
+            {"tasks", std::to_string(taskCount(Job.Request))},
+            {"estimate_ms", std::to_string(longestEstimate(Job.Request))},
+            {"deadline_ms", std::to_string(Job.Request.DeadlineMs)},
             {"ms", std::to_string(millisecondsOf(Loop.now() - Job.Arrived))}});
 }
 
--- a/src/cluster/types/clustermessage.h
+++ b/src/cluster/types/clustermessage.h
@@ -36,11 +36,11 @@
 /// An entry VM hands a job to a dispatcher.
 struct SubmitJob {
   uint64_t Request = 0;
-  bool MayRedirect = true;
+  uint8_t Redirects = 0;
   JobSubmission Job;
 
   template <typename Archive> void serialize(Archive &Ar) {
-    Ar(Request, MayRedirect, Job);
+    Ar(Request, Redirects, Job);
   }
 };
 
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -67,9 +67,9 @@
   /// Returns true if runs of this VM may still be on the backend server.
   bool involved(const std::string &Id) const;
 
-  /// Takes a job. \p MayRedirect allows to send it to another VM instead.
+  /// Takes a job that was sent on \p Redirects times.
   void submit(const JobSubmission &Request, const JobSource &From,
-              bool MayRedirect, Instant Now);
+              uint8_t Redirects, Instant Now);
   /// Ends a job for all its callers. Returns false if it is not known.
   bool cancel(const std::string &Job, Instant Now);
   /// The VM that holds callers' connections is out of reach: its requests are
@@ -131,11 +131,17 @@
   void taskFailed(const TaskId &Task, const std::string &Where, Instant Now);
   void requeue(const TaskId &Task, const std::string &Avoid);
   void expireJobs(Instant Now);
+  /// Ends waiting jobs that cannot start in time any more.
+  void refuseLate(Instant Now);
+  /// Time that a job may wait for its start.
+  Duration spareTime(const Job &Of, Instant Now) const;
 
   // Admission.
   PlaceForecast places(const std::string &Service, const Resources &Need,
                        Instant Now) const;
   Duration expectedWait(const Job &Of, Instant Now) const;
+  /// Lets the waiting tasks of a job take places; returns when the last starts.
+  static Duration takePlaces(PlaceForecast &Places, const Job &Of);
   /// Returns a peer that can start \p Tasks sooner, and counts them there.
   std::optional<std::string> betterPeer(std::size_t Tasks, Duration Wait);
 
@@ -165,6 +171,9 @@
   void allRunsGone(Backend &On, Instant Now);
   void checkListed(Backend &On, const RunList &List, Instant Sent, Instant Now);
   void checkProgress(Backend &On, const ActiveRun &Seen, Instant Now);
+  /// Returns true if a run of this age and progress will miss the deadline.
+  bool hopeless(const Job &Of, Duration Age, int64_t Percent,
+                Instant Now) const;
   void stopStrangers(Backend &On, const RunList &List, Instant Now);
   void becomeOwned(Backend &Of, Instant Now);
   void fenced(Backend &Of, Instant Now);
--- a/src/dispatch/internal/dispatcherjobs.cpp
+++ b/src/dispatch/internal/dispatcherjobs.cpp
@@ -79,7 +79,7 @@
 }
 
 void Dispatcher::submit(const JobSubmission &Request, const JobSource &From,
-                        bool MayRedirect, Instant Now) {
+                        uint8_t Redirects, Instant Now) {
   if (answerKnown(Request, From))
     return;
   if (!detail::wellFormed(Request.Steps)) {
@@ -102,7 +102,7 @@
   learnUsual(Request);
   Job Made = detail::makeJob(Request, From, NextArrival++, Now);
   const Duration Wait = expectedWait(Made, Now);
-  if (Wait > Duration::zero() && MayRedirect) {
+  if (Wait > Duration::zero() && Redirects < Limits.MostRedirects) {
     std::size_t Tasks = 0;
     for (const StepRequest &Step : Request.Steps)
       Tasks = std::max<std::size_t>(Tasks, Step.Count);
@@ -114,8 +114,7 @@
   }
   // A job that cannot meet its latency objective is refused at once, so that
   // the caller can turn elsewhere and the jobs ahead of it are still in time.
-  const Duration Spare = Made.Objective - Now - Made.Chain - Limits.Overhead;
-  if (Wait > Spare) {
+  if (Wait > spareTime(Made, Now)) {
     const int64_t RetryMs =
         Wait == Duration::max() ? NoBackendRetryMs : millisecondsOf(Wait);
     answer(From, Request.Id, JobResult::NotRun, JobReason::Overloaded, RetryMs);
@@ -236,6 +235,33 @@
   Queue.insert(keyOf(Found->second));
 }
 
+Duration Dispatcher::spareTime(const Job &Of, Instant Now) const {
+  return std::min(Of.Objective, Of.Deadline) - Now - Of.Chain - Limits.Overhead;
+}
+
+void Dispatcher::refuseLate(Instant Now) {
+  // More urgent jobs that came later may have taken the places that a waiting
+  // job was promised. It is refused while its caller can still turn elsewhere.
+  std::map<std::string, PlaceForecast> Forecasts;
+  std::vector<std::pair<std::string, Duration>> Late;
+  for (const QueueKey &Key : Queue) {
+    const Job &Of = Jobs.at(Key.Job);
+    const std::string &Service = Of.Request.Policy.Service;
+    auto Found = Forecasts.find(Service);
+    if (Found == Forecasts.end())
+      Found = Forecasts
+                  .emplace(Service, places(Service,
+                                           Of.Request.Steps.front().Need, Now))
+                  .first;
+    const Duration Wait = takePlaces(Found->second, Of);
+    if (!Of.Started && Wait > spareTime(Of, Now))
+      Late.emplace_back(Key.Job, Wait);
+  }
+  for (const auto &[Name, Wait] : Late)
+    endJob(Name, JobResult::NotRun, JobReason::Overloaded, Now,
+           Wait == Duration::max() ? NoBackendRetryMs : millisecondsOf(Wait));
+}
+
 void Dispatcher::expireJobs(Instant Now) {
   struct Ending {
     std::string Job;
@@ -248,12 +274,9 @@
       Endings.push_back({Name,
                          Of.Started ? JobResult::GivenUp : JobResult::NotRun,
                          JobReason::DeadlinePassed});
-    else if (!Of.Started && Now + Of.Chain > Of.Objective)
-      Endings.push_back({Name, JobResult::NotRun, JobReason::Overloaded});
   }
   for (const Ending &Each : Endings)
-    endJob(Each.Job, Each.Result, Each.Reason, Now,
-           Each.Reason == JobReason::Overloaded ? NoBackendRetryMs : 0);
+    endJob(Each.Job, Each.Result, Each.Reason, Now);
   std::erase_if(Outcomes, [&](const auto &Each) {
     return Now - Each.second.Ended > Limits.OutcomeKept;
   });
@@ -261,6 +284,7 @@
 
 void Dispatcher::tick(Instant Now) {
   expireJobs(Now);
+  refuseLate(Now);
   for (auto &[Id, Of] : Backends)
     tickBackend(Of, Now);
   schedule(Now);
--- a/src/dispatch/internal/dispatcherplacement.cpp
+++ b/src/dispatch/internal/dispatcherplacement.cpp
@@ -67,6 +67,17 @@
   return PlaceForecast(std::move(FreeAfter));
 }
 
+Duration Dispatcher::takePlaces(PlaceForecast &Places, const Job &Of) {
+  Duration Wait{0};
+  for (std::size_t Step = 0; Step < Of.Steps.size(); ++Step)
+    if (Of.Steps[Step].Waiting > 0 && detail::ready(Of, Step))
+      Wait = std::max(
+          Wait, Places.take(Of.Steps[Step].Waiting,
+                            std::chrono::milliseconds(
+                                Of.Request.Steps[Step].EstimateMs)));
+  return Wait;
+}
+
 Duration Dispatcher::expectedWait(const Job &Of, Instant Now) const {
   const std::string &Service = Of.Request.Policy.Service;
   PlaceForecast Places =
@@ -76,21 +87,10 @@
     if (Key > Own)
       break;
     const Job &Ahead = Jobs.at(Key.Job);
-    if (Ahead.Request.Policy.Service != Service)
-      continue;
-    for (std::size_t Step = 0; Step < Ahead.Steps.size(); ++Step)
-      Places.take(
-          Ahead.Steps[Step].Waiting,
-          std::chrono::milliseconds(Ahead.Request.Steps[Step].EstimateMs));
+    if (Ahead.Request.Policy.Service == Service)
+      takePlaces(Places, Ahead);
   }
-  Duration Wait{0};
-  for (std::size_t Step = 0; Step < Of.Steps.size(); ++Step)
-    if (detail::ready(Of, Step))
-      Wait = std::max(
-          Wait, Places.take(Of.Steps[Step].Waiting,
-                            std::chrono::milliseconds(
-                                Of.Request.Steps[Step].EstimateMs)));
-  return Wait;
+  return takePlaces(Places, Of);
 }
 
 std::optional<std::string> Dispatcher::betterPeer(std::size_t Tasks,
@@ -134,11 +134,9 @@
   PlaceForecast Places = places(UsualService, UsualNeed, Now);
   for (const QueueKey &Key : Queue) {
     const Job &Of = Jobs.at(Key.Job);
-    for (std::size_t Step = 0; Step < Of.Steps.size(); ++Step) {
-      Told.WaitingTasks += static_cast<uint32_t>(Of.Steps[Step].Waiting);
-      Places.take(Of.Steps[Step].Waiting,
-                  std::chrono::milliseconds(Of.Request.Steps[Step].EstimateMs));
-    }
+    for (const detail::StepState &Step : Of.Steps)
+      Told.WaitingTasks += static_cast<uint32_t>(Step.Waiting);
+    takePlaces(Places, Of);
   }
   Told.FreePlaces = static_cast<uint32_t>(Places.freeNow());
   constexpr Duration LongestWait = std::chrono::hours(1);
--- a/src/dispatch/internal/dispatcherruns.cpp
+++ b/src/dispatch/internal/dispatcherruns.cpp
@@ -15,6 +15,9 @@
 /// Share of the estimate after which the progress of a run tells its speed.
 constexpr double ProgressShare = 0.1;
 
+/// Least progress, in percent, that tells the speed of a run well enough.
+constexpr int64_t LeastPercent = 8;
+
 /// Weight of the newest run in the pace of a kind of machine. Estimates are
 /// rough, so that many runs have to count.
 constexpr double PaceWeight = 0.02;
@@ -305,6 +308,16 @@
     runGone(On, Task, Now);
 }
 
+bool Dispatcher::hopeless(const Job &Of, Duration Age, int64_t Percent,
+                          Instant Now) const {
+  if (Age < Limits.ProgressAge || Percent < LeastPercent)
+    return false;
+  // The percentage may be rounded down.
+  const double Done = static_cast<double>(Percent) + 1;
+  const auto Left = Age * ((100.0 - Done) / Done);
+  return Now + Left > Of.Deadline + Limits.Overhead;
+}
+
 void Dispatcher::checkProgress(Backend &On, const ActiveRun &Seen,
                                Instant Now) {
   Run &Of = On.Runs.at(Seen.Task);
@@ -314,6 +327,11 @@
   detail::TaskState &Task =
       Found->second.Steps[Seen.Task.Step].Tasks[Seen.Task.Index];
   const Duration Age = Now - *Of.SeenAt;
+  if (hopeless(Found->second, Age, Seen.Percent, Now)) {
+    log(On, Seen.Task, Seen.Run, "too_slow");
+    endJob(Seen.Task.Job, JobResult::GivenUp, JobReason::DeadlinePassed, Now);
+    return;
+  }
   const auto Estimate = std::chrono::duration<double, std::micro>(Of.Estimate);
   const auto Patience = Limits.StragglerSlack + ProgressShare * Estimate;
   if (Task.Restarted || Age < Patience)
@@ -324,7 +342,7 @@
     return;
   log(On, Seen.Task, Seen.Run, "straggler");
   Task.Restarted = true;
-  eject(On.Health, Limits, Now);
+  recordFailure(On.Health, Limits, Now);
   sendStop(On, Seen.Task, Of, Now);
 }
 
--- a/src/dispatch/types/dispatchlimits.h
+++ b/src/dispatch/types/dispatchlimits.h
@@ -3,6 +3,8 @@
 
 #include "framework/core/time.h"
 
+#include <cstdint>
+
 namespace sapphiremoor {
 
 /// Timing of the dispatcher.
@@ -25,15 +27,19 @@
   int FailuresToEject = 2;
   Duration EjectTime = std::chrono::milliseconds(1000);
   Duration LongestEject = std::chrono::seconds(8);
+  /// Times that a job may be sent on to another dispatcher.
+  uint8_t MostRedirects = 2;
   /// Allowance for messages and processing in forecasts.
   Duration Overhead = std::chrono::milliseconds(15);
   /// Time for which the outcome of a job is kept for repeated requests.
   Duration OutcomeKept = std::chrono::seconds(20);
   /// A job whose caller's VM broke its link is given up after this time.
   Duration SourceGrace = std::chrono::milliseconds(300);
+  /// Age of a run from which its progress tells when it will end.
+  Duration ProgressAge = std::chrono::milliseconds(250);
   /// A run that takes this many times its estimate is started elsewhere, if it
   /// would be faster there.
-  double StragglerFactor = 3;
+  double StragglerFactor = 4;
   Duration StragglerSlack = std::chrono::milliseconds(150);
 };
 
