Accept jobs that can start at once whatever their estimate

Cause: with a rough estimate above the deadline jobs were refused while machines were free, most of all the largest ones.

--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -133,8 +133,8 @@
   void expireJobs(Instant Now);
   /// Ends waiting jobs that cannot start in time any more.
   void refuseLate(Instant Now);
-  /// Time that a job may wait for its start.
-  Duration spareTime(const Job &Of, Instant Now) const;
+  /// Returns true if a job that starts after \p Wait would not be in time.
+  bool tooLate(const Job &Of, Duration Wait, Instant Now) const;
 
   // Admission.
   PlaceForecast places(const std::string &Service, const Resources &Need,
--- a/src/dispatch/internal/dispatcherjobs.cpp
+++ b/src/dispatch/internal/dispatcherjobs.cpp
@@ -10,6 +10,9 @@
 
 namespace {
 
+/// Work takes this share of its estimate at the least.
+constexpr double LeastShareOfEstimate = 0.5;
+
 /// Advice to callers while no backend server of the service is at hand.
 constexpr int64_t NoBackendRetryMs = 1000;
 
@@ -114,7 +117,7 @@
   }
   // A job that cannot meet its latency objective is refused at once, so that
   // the caller can turn elsewhere and the jobs ahead of it are still in time.
-  if (Wait > spareTime(Made, Now)) {
+  if (tooLate(Made, Wait, Now)) {
     const int64_t RetryMs =
         Wait == Duration::max() ? NoBackendRetryMs : millisecondsOf(Wait);
     answer(From, Request.Id, JobResult::NotRun, JobReason::Overloaded, RetryMs);
@@ -235,8 +238,12 @@
   Queue.insert(keyOf(Found->second));
 }
 
-Duration Dispatcher::spareTime(const Job &Of, Instant Now) const {
-  return std::min(Of.Objective, Of.Deadline) - Now - Of.Chain - Limits.Overhead;
+bool Dispatcher::tooLate(const Job &Of, Duration Wait, Instant Now) const {
+  // Estimates are rough: a job that can start at once may still be in time.
+  if (Wait <= Duration::zero())
+    return Now + LeastShareOfEstimate * Of.Chain > Of.Deadline;
+  const Instant Latest = std::min(Of.Objective, Of.Deadline);
+  return Wait > Latest - Now - Of.Chain - Limits.Overhead;
 }
 
 void Dispatcher::refuseLate(Instant Now) {
@@ -254,7 +261,7 @@
                                            Of.Request.Steps.front().Need, Now))
                   .first;
     const Duration Wait = takePlaces(Found->second, Of);
-    if (!Of.Started && Wait > spareTime(Of, Now))
+    if (!Of.Started && tooLate(Of, Wait, Now))
       Late.emplace_back(Key.Job, Wait);
   }
   for (const auto &[Name, Wait] : Late)
