--- a/src/cluster/internal/dispatchservice.cpp
+++ b/src/cluster/internal/dispatchservice.cpp
@@ -189,7 +189,9 @@
                                 {"step", std::to_string(Decision.Task.Step)},
                                 {"task", std::to_string(Decision.Task.Index)},
                                 {"run", std::to_string(Decision.Run)},
-                                {"what", Decision.What}});
+                                {"what", Decision.What},
+                                {"age_ms", std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(Decision.Age).count())},
+                                {"percent", std::to_string(Decision.Percent)}});
 }
 
 } // namespace sapphiremoor
--- a/src/dispatch/internal/dispatcherplacement.cpp
+++ b/src/dispatch/internal/dispatcherplacement.cpp
@@ -19,10 +19,6 @@
 /// Differences of the pace below this are noise of the estimates.
 constexpr double PaceStep = 0.15;
 
-/// A task whose estimate exceeds this share of the time left may not be done in
-/// time on a slow machine.
-constexpr double TightShare = 0.45;
-
 int64_t placesFor(const Resources &Need, const Resources &Room) {
   int64_t Places = MostPlaces;
   const auto Bound = [&Places](int64_t Each, int64_t Free) {
@@ -217,10 +213,6 @@
 Dispatcher::Backend *Dispatcher::choose(const Job &Of, std::size_t Step,
                                         const TaskState &Task, Instant Now) {
   const StepRequest &Shape = Of.Request.Steps[Step];
-  // Long tasks get the fast machines, which the others leave free for them.
-  const bool Tight =
-      std::chrono::milliseconds(Shape.EstimateMs) >
-      TightShare * std::chrono::duration<double, std::micro>(Of.Deadline - Now);
   Backend *Best = nullptr;
   std::tuple<bool, bool, bool, double, int64_t> BestRank;
   for (auto &[Id, Each] : Backends) {
@@ -231,7 +223,7 @@
     const double Pace = std::round(paceOf(Each) / PaceStep);
     const std::tuple Rank(Id == Task.Avoid, FarFromData,
                           Each.Health.FailuresInRow > 0,
-                          Tight ? Pace : -Pace,
+                          Pace,
                           (Each.room() - Shape.Need).MilliCores);
     if (Best != nullptr && Rank >= BestRank)
       continue;
--- a/src/dispatch/internal/dispatcherruns.cpp
+++ b/src/dispatch/internal/dispatcherruns.cpp
@@ -37,7 +37,7 @@
 
 void Dispatcher::log(const Backend &On, const TaskId &Task, uint64_t Number,
                      const std::string &What) {
-  Effects.emplace_back(RunDecided{On.Report.Id, Task, Number, What});
+  Effects.emplace_back(RunDecided{On.Report.Id, Task, Number, What, {}, 0});
 }
 
 void Dispatcher::sendStart(Backend &On, const TaskId &Task, Run &Of,
@@ -328,7 +328,8 @@
       Found->second.Steps[Seen.Task.Step].Tasks[Seen.Task.Index];
   const Duration Age = Now - *Of.SeenAt;
   if (hopeless(Found->second, Age, Seen.Percent, Now)) {
-    log(On, Seen.Task, Seen.Run, "too_slow");
+    Effects.emplace_back(RunDecided{On.Report.Id, Seen.Task, Seen.Run,
+                                    "too_slow", Age, Seen.Percent});
     endJob(Seen.Task.Job, JobResult::GivenUp, JobReason::DeadlinePassed, Now);
     return;
   }
@@ -340,7 +341,8 @@
   if (Age * 100.0 / Done <
       Limits.StragglerFactor * Estimate + Limits.StragglerSlack)
     return;
-  log(On, Seen.Task, Seen.Run, "straggler");
+  Effects.emplace_back(RunDecided{On.Report.Id, Seen.Task, Seen.Run,
+                                  "straggler", Age, Seen.Percent});
   Task.Restarted = true;
   recordFailure(On.Health, Limits, Now);
   sendStop(On, Seen.Task, Of, Now);
--- a/src/dispatch/types/dispatcheffect.h
+++ b/src/dispatch/types/dispatcheffect.h
@@ -78,6 +78,8 @@
   TaskId Task;
   uint64_t Run = 0;
   std::string What;
+  Duration Age{0};
+  int64_t Percent = 0;
 };
 
 using DispatchEffect = std::variant<StartOrder, StopOrder, HoldOrder, JobAnswer,
