Do not extend the lease of a silent backend server; test the dispatcher

Cause: hold orders that were repeated without an answer extended the lease each time, so that runs on a silent backend server were never started elsewhere; found by the first run of the new tests. Ruled out: a shorter lease.

--- a/src/cluster/entrynode.h
+++ b/src/cluster/entrynode.h
@@ -42,7 +42,10 @@
   /// Counts the jobs of \p Service that have not started.
   void pending(const std::string &Service, CountHandler Handler);
 
+  /// Tells the balancer that callers should go elsewhere.
   void drain() { Draining = true; }
+  /// Refuses further jobs: they might not end before this VM does.
+  void refuseNew() { Refusing = true; }
   std::size_t openRequests() const { return Open.size(); }
   void addSeeds(const std::vector<Endpoint> &Seeds) { Bus.addSeeds(Seeds); }
   Registry &metrics() { return Metrics; }
@@ -100,6 +103,7 @@
   std::map<uint64_t, OpenQuery> Queries;
   uint64_t NextNumber = 1;
   bool Draining = false;
+  bool Refusing = false;
   bool WasReady = false;
   Timer TickTimer;
   Counter &Submitted;
--- a/src/cluster/internal/backenddirectory.cpp
+++ b/src/cluster/internal/backenddirectory.cpp
@@ -21,8 +21,8 @@
 /// partition is left to the owner on its side.
 constexpr Duration FreshFor = std::chrono::milliseconds(2500);
 
-/// At the start the other control VMs are not known yet; nothing of another data
-/// centre is taken before they had time to show up.
+/// At the start the other control VMs are not known yet; nothing of another
+/// data centre is taken before they had time to show up.
 constexpr Duration StartGrace = std::chrono::seconds(2);
 
 /// Time for which another owner has to be preferred before a handover, so that
@@ -169,8 +169,7 @@
   for (auto &[Id, Of] : Known) {
     if (Of.Report.Id.empty())
       continue;
-    const auto Preferred =
-        preferredOwner(Id, Of.Report.DataCentre, Controls);
+    const auto Preferred = preferredOwner(Id, Of.Report.DataCentre, Controls);
     consider(Id, Of, Preferred.value_or(""), MayTake);
   }
   Dispatch.run();
@@ -196,8 +195,7 @@
   const bool Fresh = Now - Of.Heard <= FreshFor;
   const bool SameDataCentre = Of.Report.DataCentre == Bus.dataCentre();
   const bool Settled = SameDataCentre || Now - Started > StartGrace;
-  if (!Own || !MayTake || Claimed || !Fresh || !Settled ||
-      Now < Of.NextAttempt)
+  if (!Own || !MayTake || Claimed || !Fresh || !Settled || Now < Of.NextAttempt)
     return;
   Of.NextAttempt = Now + FencedPause;
   Decisions.acquire(Id, termNow(), Now);
--- a/src/cluster/internal/dispatchservice.cpp
+++ b/src/cluster/internal/dispatchservice.cpp
@@ -57,8 +57,12 @@
   Submitted.add();
   const JobSource Source{From.Name, Message.Request};
   if (Draining && Decisions.status(Message.Job.Id) == JobStatus::Unknown) {
-    perform(JobAnswer{Source, Message.Job.Id, JobResult::NotRun,
-                      JobReason::Overloaded, 0, {}});
+    perform(JobAnswer{Source,
+                      Message.Job.Id,
+                      JobResult::NotRun,
+                      JobReason::Overloaded,
+                      0,
+                      {}});
     return;
   }
   Decisions.submit(Message.Job, Source, Message.Redirects, Loop.now());
@@ -74,8 +78,8 @@
 }
 
 void DispatchService::pending(const VmId &From, const PendingQuery &Message) {
-  Bus.send(From.Name, PendingAnswer{Message.Request,
-                                    Decisions.pending(Message.Service)});
+  Bus.send(From.Name,
+           PendingAnswer{Message.Request, Decisions.pending(Message.Service)});
 }
 
 void DispatchService::peerUp(const VmId &Peer) {
@@ -184,14 +188,19 @@
 }
 
 void DispatchService::perform(const RunDecided &Decision) {
-  logEvent(events::RunDecided, {{"backend", Decision.Backend},
-                                {"job", Decision.Task.Job},
-                                {"step", std::to_string(Decision.Task.Step)},
-                                {"task", std::to_string(Decision.Task.Index)},
-                                {"run", std::to_string(Decision.Run)},
-                                {"what", Decision.What},
-                                {"age_ms", std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(Decision.Age).count())},
-                                {"percent", std::to_string(Decision.Percent)}});
+  logEvent(
+      events::RunDecided,
+      {{"backend", Decision.Backend},
+       {"job", Decision.Task.Job},
+       {"step", std::to_string(Decision.Task.Step)},
+       {"task", std::to_string(Decision.Task.Index)},
+       {"run", std::to_string(Decision.Run)},
+       {"what", Decision.What},
+       {"age_ms",
+        std::to_string(
+            std::chrono::duration_cast<std::chrono::milliseconds>(Decision.Age)
+                .count())},
+       {"percent", std::to_string(Decision.Percent)}});
 }
 
 } // namespace sapphiremoor
--- a/src/cluster/internal/entrynode.cpp
+++ b/src/cluster/internal/entrynode.cpp
@@ -54,7 +54,9 @@
            },
            [this](const VmId &Peer) { peerUp(Peer); },
            [this](const VmId &Peer) { peerDown(Peer); },
-           [this](ClusterHeartbeat &Told) { Told.Configuration = Configuration; }}),
+           [this](ClusterHeartbeat &Told) {
+             Told.Configuration = Configuration;
+           }}),
       TickTimer(Loop, [this] { tick(); }),
       Submitted(Metrics.counter("sapphiremoor_entry_jobs_total",
                                 "Jobs that callers submitted.")),
@@ -87,7 +89,7 @@
   Added.Deadline = Now + std::chrono::milliseconds(Request.DeadlineMs);
   OpenJob &Job = Open.emplace(Number, std::move(Added)).first->second;
   const auto To = chooseDispatcher(Request.Id);
-  if (!To || !handOver(Number, Job, *To))
+  if (Refusing || !To || !handOver(Number, Job, *To))
     finish(Number, {{Of.Name, Number},
                     Request.Id,
                     JobResult::NotRun,
@@ -108,8 +110,7 @@
     const bool Near = Each.DataCentre == Of.DataCentre;
     const auto Load = Loads.find(Name);
     // Within the own data centre a job and its repetitions go to one VM.
-    const int64_t Wait =
-        Near || Load == Loads.end() ? 0 : -Load->second.WaitMs;
+    const int64_t Wait = Near || Load == Loads.end() ? 0 : -Load->second.WaitMs;
     const std::tuple Rank(Near, Wait, rendezvousWeight(Job, Name));
     if (Best && Rank <= BestRank)
       continue;
@@ -203,7 +204,8 @@
       Job.LostAt = Now;
 }
 
-void EntryNode::configurationTold(const VmId &From, const ClusterHeartbeat &Message) {
+void EntryNode::configurationTold(const VmId &From,
+                                  const ClusterHeartbeat &Message) {
   if (Message.Self.Role != MemberRole::Control)
     return;
   Loads[From.Name] = Message.Load;
@@ -220,8 +222,7 @@
     return;
   Configuration = Value.Of;
   const VersionedDocument &Document = Value.Value.Document;
-  if (Document.Version == 0 ||
-      (Table && Document.Version <= Table->version()))
+  if (Document.Version == 0 || (Table && Document.Version <= Table->version()))
     return;
   Result<RoutingTable> Read = ReadTable(Document);
   if (isError(Read)) {
@@ -317,12 +318,9 @@
     const OpenJob &Job = Open.at(Each.Number);
     const std::string Id = Job.Request.Id;
     Bus.send(Job.Target.Name, JobQuery{0, Id, true});
-    finish(Each.Number, {{Of.Name, Each.Number},
-                         Id,
-                         JobResult::GivenUp,
-                         Each.Reason,
-                         0,
-                         {}});
+    finish(
+        Each.Number,
+        {{Of.Name, Each.Number}, Id, JobResult::GivenUp, Each.Reason, 0, {}});
   }
   std::vector<uint64_t> Late;
   for (const auto &[Number, Query] : Queries)
--- a/src/cluster/internal/registerservice.cpp
+++ b/src/cluster/internal/registerservice.cpp
@@ -14,8 +14,8 @@
 constexpr Duration TickPeriod = std::chrono::milliseconds(25);
 constexpr Duration VoterCheckPeriod = std::chrono::seconds(1);
 
-/// A voter that has been silent for this time is exchanged if a spare control VM
-/// is live. Restarts and short partitions are over sooner.
+/// A voter that has been silent for this time is exchanged if a spare control
+/// VM is live. Restarts and short partitions are over sooner.
 constexpr Duration VoterGoneAfter = std::chrono::seconds(12);
 
 VoterSet firstVoters(const ClusterSettings &Of) {
@@ -53,16 +53,15 @@
   logEvent(events::LogRecovered,
            {{"stored", Start.Stored ? "yes" : "no"},
             {"first_start", Of.FirstStart ? "yes" : "no"},
-            {"version", Start.Stored ? std::to_string(
-                                           Start.Stored->Value.Document.Version)
-                                     : "none"}});
+            {"version",
+             Start.Stored ? std::to_string(Start.Stored->Value.Document.Version)
+                          : "none"}});
   Storage = std::make_unique<StorageTask>(
       std::move(Parts.Log), [this](std::vector<StorageReply> Replies) {
-        Loop.post(
-            [this, Replies = std::move(Replies)] { stored(Replies); });
+        Loop.post([this, Replies = std::move(Replies)] { stored(Replies); });
       });
-  Node = std::make_unique<RegisterNode>(Start, RegisterLimits{},
-                                        secureRandom64());
+  Node =
+      std::make_unique<RegisterNode>(Start, RegisterLimits{}, secureRandom64());
   run();
   if (Node->chosen())
     OnChosen(Node->chosen()->Value);
@@ -189,9 +188,10 @@
       Known.Gone.insert(Voter);
   }
   // One live voter proposes; two at once would only delay each other.
-  const auto First = std::ranges::find_if(
-      Voters.Voters,
-      [&Known](const std::string &Voter) { return Known.Live.contains(Voter); });
+  const auto First =
+      std::ranges::find_if(Voters.Voters, [&Known](const std::string &Voter) {
+        return Known.Live.contains(Voter);
+      });
   if (First == Voters.Voters.end() || *First != Of.Peer.Address)
     return;
   if (const auto Next = nextVoters(Voters, Known)) {
--- a/src/cluster/types/clustermessage.h
+++ b/src/cluster/types/clustermessage.h
@@ -102,9 +102,9 @@
 };
 
 using ClusterMessage =
-    std::variant<ClusterHeartbeat, SubmitJob, JobAnswer, JobQuery, JobQueryAnswer,
-                 PendingQuery, PendingAnswer, BackendReports, OwnershipNews,
-                 RegisterMessage>;
+    std::variant<ClusterHeartbeat, SubmitJob, JobAnswer, JobQuery,
+                 JobQueryAnswer, PendingQuery, PendingAnswer, BackendReports,
+                 OwnershipNews, RegisterMessage>;
 
 } // namespace sapphiremoor
 
--- a/src/discovery/internal/memberview.cpp
+++ b/src/discovery/internal/memberview.cpp
@@ -59,8 +59,7 @@
   return Found == Members.end() ? nullptr : &Found->second.Info;
 }
 
-const MemberInfo *
-MemberView::findByAddress(const std::string &Address) const {
+const MemberInfo *MemberView::findByAddress(const std::string &Address) const {
   const Member *Newest = nullptr;
   for (const auto &[Name, Each] : Members)
     if (Each.Info.Peer.Address == Address &&
@@ -82,9 +81,8 @@
   for (const auto &[Name, Each] : Members) {
     if (Each.Info.Role != MemberRole::Control || !Each.Direct)
       continue;
-    const auto Age =
-        std::chrono::duration_cast<std::chrono::milliseconds>(Now -
-                                                              *Each.Direct);
+    const auto Age = std::chrono::duration_cast<std::chrono::milliseconds>(
+        Now - *Each.Direct);
     Told.push_back({Each.Info, Age.count()});
   }
   return Told;
--- a/src/dispatch/backendclock.h
+++ b/src/dispatch/backendclock.h
@@ -17,8 +17,8 @@
 
   bool known() const { return Reading.has_value(); }
 
-  /// Returns a lease end \p Lease after \p Now on that clock and remembers it as
-  /// granted.
+  /// Returns a lease end \p Lease after \p Now on that clock and remembers it
+  /// as granted.
   int64_t grant(Instant Now, Duration Lease);
 
   /// Returns true if every lease that was granted has certainly expired. A
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -34,10 +34,17 @@
 };
 
 /// What a dispatcher knows of a job.
-enum class JobStatus : uint8_t { Unknown, Queued, Running, Done, Failed, GivenUp };
+enum class JobStatus : uint8_t {
+  Unknown,
+  Queued,
+  Running,
+  Done,
+  Failed,
+  GivenUp
+};
 
-/// Places the tasks of jobs on backend servers that this VM controls, never over
-/// their capacity and never two runs of one task at a time.
+/// Places the tasks of jobs on backend servers that this VM controls, never
+/// over their capacity and never two runs of one task at a time.
 ///
 /// The backend server is the arbiter of its ownership: it obeys only the
 /// highest fencing token, and its list of runs is exact. A start without an
@@ -148,8 +155,8 @@
   // Placement.
   void schedule(Instant Now);
   bool placeTasks(Job &Of, std::vector<Resources> &TooLarge, Instant Now);
-  Backend *choose(const Job &Of, std::size_t Step, const detail::TaskState &Task,
-                  Instant Now);
+  Backend *choose(const Job &Of, std::size_t Step,
+                  const detail::TaskState &Task, Instant Now);
   bool eligible(const Backend &Of, const Job &For, std::size_t Step,
                 Instant Now) const;
   void start(Backend &On, Job &Of, std::size_t Step, std::size_t Index,
--- a/src/dispatch/internal/backendclock.cpp
+++ b/src/dispatch/internal/backendclock.cpp
@@ -22,9 +22,9 @@
 int64_t BackendClock::grant(Instant Now, Duration Lease) {
   if (!Reading)
     return 0;
-  const auto End = Reading->ClockMs +
-                   static_cast<int64_t>(
-                       millisecondsOf(Now - Reading->Received + Lease));
+  const auto End =
+      Reading->ClockMs +
+      static_cast<int64_t>(millisecondsOf(Now - Reading->Received + Lease));
   GrantedMs = std::max(GrantedMs, End);
   return End;
 }
--- a/src/dispatch/internal/dispatcherjobs.cpp
+++ b/src/dispatch/internal/dispatcherjobs.cpp
@@ -34,9 +34,8 @@
 }
 
 bool Dispatcher::anyWaiting(const Job &Of) const {
-  return std::ranges::any_of(Of.Steps, [](const detail::StepState &Step) {
-    return Step.Waiting > 0;
-  });
+  return std::ranges::any_of(
+      Of.Steps, [](const detail::StepState &Step) { return Step.Waiting > 0; });
 }
 
 bool Dispatcher::possible(const JobSubmission &Request) const {
@@ -53,7 +52,8 @@
   });
 }
 
-bool Dispatcher::answerKnown(const JobSubmission &Request, const JobSource &From) {
+bool Dispatcher::answerKnown(const JobSubmission &Request,
+                             const JobSource &From) {
   const auto Ended = Outcomes.find(Request.Id);
   if (Ended != Outcomes.end()) {
     answer(From, Request.Id, Ended->second.Result, Ended->second.Reason);
@@ -257,8 +257,8 @@
     auto Found = Forecasts.find(Service);
     if (Found == Forecasts.end())
       Found = Forecasts
-                  .emplace(Service, places(Service,
-                                           Of.Request.Steps.front().Need, Now))
+                  .emplace(Service,
+                           places(Service, Of.Request.Steps.front().Need, Now))
                   .first;
     const Duration Wait = takePlaces(Found->second, Of);
     if (!Of.Started && tooLate(Of, Wait, Now))
--- a/src/dispatch/internal/dispatcherplacement.cpp
+++ b/src/dispatch/internal/dispatcherplacement.cpp
@@ -54,8 +54,8 @@
                      static_cast<std::size_t>(placesFor(Need, Of.room())),
                      Duration::zero());
     for (const auto &[Task, Each] : Of.Runs) {
-      const auto Length = std::chrono::duration_cast<Duration>(
-          paceOf(Of) * Each.Estimate);
+      const auto Length =
+          std::chrono::duration_cast<Duration>(paceOf(Of) * Each.Estimate);
       const Duration Left = Length - (Now - Each.Ordered);
       FreeAfter.push_back(std::max(Left, Each.Estimate / 5));
     }
@@ -67,17 +67,16 @@
   Duration Wait{0};
   for (std::size_t Step = 0; Step < Of.Steps.size(); ++Step)
     if (Of.Steps[Step].Waiting > 0 && detail::ready(Of, Step))
-      Wait = std::max(
-          Wait, Places.take(Of.Steps[Step].Waiting,
-                            std::chrono::milliseconds(
-                                Of.Request.Steps[Step].EstimateMs)));
+      Wait =
+          std::max(Wait, Places.take(Of.Steps[Step].Waiting,
+                                     std::chrono::milliseconds(
+                                         Of.Request.Steps[Step].EstimateMs)));
   return Wait;
 }
 
 Duration Dispatcher::expectedWait(const Job &Of, Instant Now) const {
   const std::string &Service = Of.Request.Policy.Service;
-  PlaceForecast Places =
-      places(Service, Of.Request.Steps.front().Need, Now);
+  PlaceForecast Places = places(Service, Of.Request.Steps.front().Need, Now);
   const QueueKey Own = keyOf(Of);
   for (const QueueKey &Key : Queue) {
     if (Key > Own)
@@ -197,8 +196,7 @@
   if (Of.Mode != OwnerMode::Owned || Of.Suspect || Of.Releasing ||
       Of.Report.Draining || !Of.Clock.known() ||
       Of.Report.Service != For.Request.Policy.Service ||
-      !fits(Shape.Need, Of.room()) ||
-      !mayPlace(Of.Health, Of.Runs.size(), Now))
+      !fits(Shape.Need, Of.room()) || !mayPlace(Of.Health, Of.Runs.size(), Now))
     return false;
   if (!Shape.RequiredLabel.empty() && !hasLabel(Of.Report, Shape.RequiredLabel))
     return false;
@@ -222,8 +220,7 @@
         !Shape.DataRack.empty() && !hasLabel(Each.Report, Shape.DataRack);
     const double Pace = std::round(paceOf(Each) / PaceStep);
     const std::tuple Rank(Id == Task.Avoid, FarFromData,
-                          Each.Health.FailuresInRow > 0,
-                          Pace,
+                          Each.Health.FailuresInRow > 0, Pace,
                           (Each.room() - Shape.Need).MilliCores);
     if (Best != nullptr && Rank >= BestRank)
       continue;
@@ -247,8 +244,7 @@
   Run Added;
   Added.Number = ++Task.LastRun;
   Added.Need = Of.Request.Steps[Step].Need;
-  Added.Estimate =
-      std::chrono::milliseconds(Of.Request.Steps[Step].EstimateMs);
+  Added.Estimate = std::chrono::milliseconds(Of.Request.Steps[Step].EstimateMs);
   Added.Ordered = Now;
   On.Used = On.Used + Added.Need;
   LiveRuns[Id] = On.Report.Id;
--- a/src/dispatch/internal/dispatcherruns.cpp
+++ b/src/dispatch/internal/dispatcherruns.cpp
@@ -62,12 +62,14 @@
   if (On.HoldOpen)
     return;
   HoldOrder Order{target(On), {}, On.ConfirmedEnds, 0};
-  if (On.Mode == OwnerMode::Owned && !On.Runs.empty() && On.Clock.known()) {
+  // While answers are missing the lease is not extended: it has to end, so that
+  // what runs there can be started elsewhere.
+  if (On.Mode == OwnerMode::Owned && !On.Runs.empty() && On.Clock.known() &&
+      !On.Suspect) {
     Order.LeaseEndMs = On.Clock.grant(Now, Limits.Lease);
-    if (!On.Suspect)
-      Order.WaitMs =
-          std::chrono::duration_cast<std::chrono::milliseconds>(Limits.HoldWait)
-              .count();
+    Order.WaitMs =
+        std::chrono::duration_cast<std::chrono::milliseconds>(Limits.HoldWait)
+            .count();
   }
   On.HoldOpen = true;
   On.HoldSent = Now;
@@ -218,8 +220,8 @@
     return;
   }
   schedule(Now);
-  On->NextHold =
-      Now + (On->Mode == OwnerMode::Owned ? Limits.IdleHold : Limits.HoldRetry);
+  On->NextHold = Now + (On->Mode == OwnerMode::Owned ? Limits.IdleHold
+                                                     : Limits.TakeoverPoll);
   if (On->Mode == OwnerMode::Owned && !On->Runs.empty())
     sendHold(*On, Now);
 }
@@ -371,7 +373,8 @@
     return;
   const double Ratio = std::chrono::duration<double>(Now - *Ended.SeenAt) /
                        std::chrono::duration<double>(Ended.Estimate);
-  double &Pace = KindPaces.try_emplace(Of.Report.Labels.front(), 1).first->second;
+  double &Pace =
+      KindPaces.try_emplace(Of.Report.Labels.front(), 1).first->second;
   Pace += PaceWeight * (std::clamp(Ratio, 0.25, 4.0) - Pace);
 }
 
--- a/src/dispatch/internal/jobstate.cpp
+++ b/src/dispatch/internal/jobstate.cpp
@@ -25,9 +25,10 @@
   if (Steps.empty())
     return false;
   for (std::size_t Index = 0; Index < Steps.size(); ++Index) {
-    const bool Earlier = std::ranges::all_of(
-        Steps[Index].DependsOn,
-        [Index](uint32_t Before) { return Before < Index; });
+    const bool Earlier =
+        std::ranges::all_of(Steps[Index].DependsOn, [Index](uint32_t Before) {
+          return Before < Index;
+        });
     if (Steps[Index].Count == 0 || !Earlier)
       return false;
   }
--- /dev/null
+++ b/src/dispatch/tests/fakebackends.h
@@ -0,0 +1,128 @@
+#ifndef SAPPHIREMOOR_DISPATCH_TESTS_FAKEBACKENDS_H
+#define SAPPHIREMOOR_DISPATCH_TESTS_FAKEBACKENDS_H
+
+#include "dispatch/dispatcher.h"
+#include "framework/core/random.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace sapphiremoor {
+
+/// Backend servers and dispatchers on one simulated clock. Orders and answers
+/// take time, get lost, and are carried out late; backend servers crash and
+/// come back. It notes each broken promise: a backend server over its capacity,
+/// two runs of a task at a time, a refusal of a job that has started.
+class FakeBackends {
+public:
+  explicit FakeBackends(uint64_t Seed) : Rng(Seed) {}
+
+  Dispatcher &addDispatcher(const std::string &Name, uint16_t Tag,
+                            const DispatchLimits &Limits = {});
+  void addBackend(const std::string &Id, const Resources &Capacity,
+                  const std::string &Kind = "a");
+  /// Reports a backend server to a dispatcher and lets it take it.
+  void give(const std::string &Backend, const std::string &Owner);
+
+  void submit(const std::string &At, const JobSubmission &Job);
+  void run(Duration Time);
+
+  /// Ends all runs and forgets everything; the id and the address stay.
+  void crash(const std::string &Backend, Duration Down);
+  /// Orders and answers are swallowed.
+  void silence(const std::string &Backend, bool Silent);
+  /// The dispatcher is frozen: it gets no answers and does nothing.
+  void freeze(const std::string &Name, bool Frozen);
+
+  Dispatcher &dispatcher(const std::string &Name) {
+    return *Owners.at(Name).Decisions;
+  }
+  std::size_t activeRuns(const std::string &Backend) const;
+  std::size_t starts(const std::string &Backend) const {
+    return Servers.at(Backend).Starts;
+  }
+  const std::vector<JobAnswer> &answers() const { return Answers; }
+  std::vector<JobAnswer> answersTo(const std::string &Job) const;
+
+  /// Share of orders that get no answer and are carried out seconds later.
+  double LateShare = 0;
+  /// Share of orders that are lost, and of answers that are.
+  double LossShare = 0;
+  /// All runs there fail, stand still, or take so many times their work.
+  std::map<std::string, double> FailShare;
+  std::map<std::string, double> Slowness;
+  std::vector<std::string> Violations;
+  Instant Now = instantAt(std::chrono::seconds(100));
+
+private:
+  using HoldAnswer = std::variant<RunList, HoldFailure>;
+  /// What the dispatcher is told when an answer arrives.
+  using Told = std::function<void(Dispatcher &)>;
+
+  struct ServerRun {
+    uint64_t Number = 0;
+    Resources Need;
+    Instant Started;
+    Instant Ends;
+    bool Stopping = false;
+  };
+  struct Server {
+    BackendReport Report;
+    bool Down = false;
+    bool Silent = false;
+    Instant Booted;
+    uint64_t Token = 0;
+    int64_t LeaseEndMs = 0;
+    std::map<TaskId, ServerRun> Runs;
+    std::map<TaskId, uint64_t> HighestEnded;
+    std::vector<EndedRun> Ended;
+    uint64_t NextEnd = 1;
+    std::size_t Starts = 0;
+  };
+  struct Owner {
+    std::unique_ptr<Dispatcher> Decisions;
+    bool Frozen = false;
+    bool Busy = false;
+  };
+
+  void at(Instant When, std::function<void()> What);
+  Duration delay();
+  void collect(const std::string &Name);
+  void perform(const std::string &Name, const StartOrder &Order);
+  void perform(const std::string &Name, const StopOrder &Order);
+  void perform(const std::string &Name, const HoldOrder &Order);
+  /// Carries one order to its backend server with the usual losses.
+  void carry(const std::string &Name, const ControlTarget &To,
+             std::function<void(Server &, std::function<void(Told)>)> Execute,
+             Told NoAnswer, Duration Timeout);
+  StartAnswer start(Server &At, const StartOrder &Order);
+  StopAnswerKind stop(Server &At, const StopOrder &Order);
+  /// Hands an answer over, once the dispatcher is not frozen.
+  void tell(const std::string &Name, const Told &What);
+  HoldAnswer list(Server &At, const HoldOrder &Order);
+  bool hold(Server &At, const HoldOrder &Order);
+  void end(Server &At, const TaskId &Task, RunEnd How);
+  void tickServers();
+  int64_t clock(const Server &At) const;
+
+  Random Rng;
+  std::multimap<Instant, std::function<void()>> Events;
+  std::map<std::string, Server> Servers;
+  std::map<std::string, Owner> Owners;
+  std::map<std::string, JobSubmission> Jobs;
+  std::map<std::string, std::size_t> StartedTasks;
+  std::vector<JobAnswer> Answers;
+  uint64_t NextRequest = 1;
+  uint64_t NextTerm = 1000;
+};
+
+/// A job with one step.
+JobSubmission simpleJob(const std::string &Id, uint32_t Tasks,
+                        int64_t EstimateMs, int64_t MilliCores = 1000);
+
+} // namespace sapphiremoor
+
+#endif // SAPPHIREMOOR_DISPATCH_TESTS_FAKEBACKENDS_H
--- a/src/dispatch/types/dispatchlimits.h
+++ b/src/dispatch/types/dispatchlimits.h
@@ -19,11 +19,15 @@
   Duration IdleHold = std::chrono::milliseconds(1000);
   /// Pause before a hold order after one without an answer.
   Duration HoldRetry = std::chrono::milliseconds(150);
+  /// Pause between looks at a backend server whose former runs are being
+  /// stopped.
+  Duration TakeoverPoll = std::chrono::milliseconds(60);
   /// Sends of one start order before its run is stopped instead.
   int StartSends = 2;
   /// Pause before a stop order is sent again.
   Duration StopRetry = std::chrono::milliseconds(150);
-  /// Failed runs in a row after which a backend server gets no work for a while.
+  /// Failed runs in a row after which a backend server gets no work for a
+  /// while.
   int FailuresToEject = 2;
   Duration EjectTime = std::chrono::milliseconds(1000);
   Duration LongestEject = std::chrono::seconds(8);
--- a/src/dispatch/types/jobsubmission.h
+++ b/src/dispatch/types/jobsubmission.h
@@ -53,8 +53,8 @@
   }
 };
 
-/// A job whose caller waits for its end. It is kept in memory only: after a lost
-/// answer it may run again from its start.
+/// A job whose caller waits for its end. It is kept in memory only: after a
+/// lost answer it may run again from its start.
 struct JobSubmission {
   std::string Id;
   QueuePolicy Policy;
--- a/src/framework/eventlog/internal/eventlog.cpp
+++ b/src/framework/eventlog/internal/eventlog.cpp
@@ -28,7 +28,23 @@
   return "error";
 }
 
-constexpr std::array AllEvents{events::Started, events::Stopping, events::Stopped, events::SettingsRejected, events::PeerUp, events::PeerDown, events::FrameRejected, events::DispatcherChanged, events::TrustedNetwork, events::BackendJoined, events::BackendLeaving, events::BackendExpired, events::BackendEjected, events::OwnershipChanged, events::JobDecided, events::JobRefused, events::PrefixSealed, events::RequestRejected, events::JobDispatched, events::RunDecided, events::JobAnswered, events::LinesDropped, events::LeaderElected, events::ChangeAccepted, events::ChangeInForce, events::StorageFailed, events::LogRecovered, events::ChunkRejected, events::VotersChanging, events::ChangeRefused, events::ReadinessChanged, events::SettingsReloaded};
+constexpr std::array AllEvents{
+    events::Started,          events::Stopping,
+    events::Stopped,          events::SettingsRejected,
+    events::PeerUp,           events::PeerDown,
+    events::FrameRejected,    events::DispatcherChanged,
+    events::TrustedNetwork,   events::BackendJoined,
+    events::BackendLeaving,   events::BackendExpired,
+    events::BackendEjected,   events::OwnershipChanged,
+    events::JobDecided,       events::JobRefused,
+    events::PrefixSealed,     events::RequestRejected,
+    events::JobDispatched,    events::RunDecided,
+    events::JobAnswered,      events::LinesDropped,
+    events::LeaderElected,    events::ChangeAccepted,
+    events::ChangeInForce,    events::StorageFailed,
+    events::LogRecovered,     events::ChunkRejected,
+    events::VotersChanging,   events::ChangeRefused,
+    events::ReadinessChanged, events::SettingsReloaded};
 
 } // namespace
 
--- a/src/framework/net/peermesh.h
+++ b/src/framework/net/peermesh.h
@@ -24,8 +24,8 @@
 /// VMs that know addresses but no names beforehand: a name is learned from the
 /// greeting. Used where no list of VMs is configured.
 ///
-/// A link on which nothing arrives for PeerLimits::SilentLimit is closed, so the
-/// owner has to call sendToAll() several times within that limit.
+/// A link on which nothing arrives for PeerLimits::SilentLimit is closed, so
+/// the owner has to call sendToAll() several times within that limit.
 class PeerMesh {
 public:
   PeerMesh(EventLoop &Loop, VmId Self, std::string ClusterKey,
--- a/src/framework/net/tests/peermesh_test.cpp
+++ b/src/framework/net/tests/peermesh_test.cpp
@@ -75,7 +75,8 @@
   CHECK(A.Mesh.reachable("b"));
 }
 
-// Guards against a VM that dials itself when its own address is among the seeds.
+// Guards against a VM that dials itself when its own address is among the
+// seeds.
 TEST_CASE("the own address is not dialled") {
   EventLoop Loop;
   MeshNode A(Loop, {"a", 1});
--- a/src/routing/tests/routingtable_test.cpp
+++ b/src/routing/tests/routingtable_test.cpp
@@ -24,9 +24,9 @@
 
 // Guards against requests that reach the queue of a shorter prefix.
 TEST_CASE("the longest prefix of the path wins") {
-  const auto Built = build({route("a.example", "/x/"), route("a.example", "/"),
-                            route("a.example", "/x/y/"),
-                            route("b.example", "/x/z/")});
+  const auto Built =
+      build({route("a.example", "/x/"), route("a.example", "/"),
+             route("a.example", "/x/y/"), route("b.example", "/x/z/")});
   REQUIRE_FALSE(isError(Built));
   const RoutingTable &Table = valueOf(Built);
   CHECK(Table.find("a.example", "/x/y/12")->PathPrefix == "/x/y/");
@@ -41,8 +41,9 @@
   QueueRoute Unknown = route("a.example", "/x/");
   Unknown.Policy.Service = "none";
   CHECK(errorOf(build({Unknown})).Kind == ErrorKind::UnknownService);
-  CHECK(errorOf(build({route("a.example", "/"), route("a.example", "/")}))
-            .Kind == ErrorKind::Conflict);
+  CHECK(
+      errorOf(build({route("a.example", "/"), route("a.example", "/")})).Kind ==
+      ErrorKind::Conflict);
   QueueRoute NoTime = route("a.example", "/x/");
   NoTime.TimeoutMs = 0;
   CHECK(errorOf(build({NoTime})).Kind == ErrorKind::OutOfRange);
--- a/src/versionregister/internal/proposer.h
+++ b/src/versionregister/internal/proposer.h
@@ -50,7 +50,8 @@
 /// Returns true if \p Answered has a majority in each set of \p Of.
 bool majorityOfAll(const Round &Of, const std::set<std::string> &Answered);
 
-/// Returns all voters of \p Of that were not asked yet, and marks them as asked.
+/// Returns all voters of \p Of that were not asked yet, and marks them as
+/// asked.
 std::vector<std::string> takeUnasked(Round &Of);
 
 /// Takes a promise into account. Returns false for a late or refused one.
--- a/src/versionregister/internal/voterset.cpp
+++ b/src/versionregister/internal/voterset.cpp
@@ -19,14 +19,16 @@
 std::optional<VoterSet> nextVoters(const VoterSet &Now,
                                    const VoterCandidates &Known) {
   VoterSet Next{Now.Epoch + 1, Now.Voters};
-  const auto Spare = std::ranges::find_if(
-      Known.Live,
-      [&Now](const std::string &Name) { return !isVoter(Now, Name); });
+  const auto Spare =
+      std::ranges::find_if(Known.Live, [&Now](const std::string &Name) {
+        return !isVoter(Now, Name);
+      });
   if (Spare == Known.Live.end())
     return std::nullopt;
-  const auto Gone = std::ranges::find_if(
-      Next.Voters,
-      [&Known](const std::string &Name) { return Known.Gone.contains(Name); });
+  const auto Gone =
+      std::ranges::find_if(Next.Voters, [&Known](const std::string &Name) {
+        return Known.Gone.contains(Name);
+      });
   if (Gone != Next.Voters.end())
     Next.Voters.erase(Gone);
   else if (Next.Voters.size() >= Known.Wanted)
--- a/src/versionregister/tests/register_test.cpp
+++ b/src/versionregister/tests/register_test.cpp
@@ -27,8 +27,7 @@
   const uint64_t Read = Network.read("v2");
   Network.run(200);
   REQUIRE(decided(Network, "v2", Read));
-  CHECK(Network.Ended.at({"v2", Read}).Newest ==
-        VersionedDocument{7, "seven"});
+  CHECK(Network.Ended.at({"v2", Read}).Newest == VersionedDocument{7, "seven"});
 }
 
 // Guards against a lower or equal version that replaces the newest one.
--- a/src/versionregister/tests/registernetwork.cpp
+++ b/src/versionregister/tests/registernetwork.cpp
@@ -56,8 +56,7 @@
   std::swap(Messages[Index], Messages.back());
   const InFlight Taken = std::move(Messages.back());
   Messages.pop_back();
-  const bool Lost =
-      std::uniform_real_distribution<double>(0, 1)(Rng) < Loss;
+  const bool Lost = std::uniform_real_distribution<double>(0, 1)(Rng) < Loss;
   const bool Self = Taken.From == Taken.To;
   const bool Cut = Nodes.at(Taken.From).Cut || Nodes.at(Taken.To).Cut;
   if (down(Taken.To) || (!Self && (Lost || Cut)))
