--- a/src/cluster/dispatchservice.h
+++ b/src/cluster/dispatchservice.h
@@ -51,6 +51,7 @@
   void perform(const JobAnswer &Answer);
   void perform(const OwnershipChanged &Change);
   void perform(const RunDecided &Decision);
+  void perform(const AdmissionDecided &Decision);
   void tick();
 
   EventLoop &Loop;
--- a/src/cluster/internal/dispatchservice.cpp
+++ b/src/cluster/internal/dispatchservice.cpp
@@ -187,6 +187,18 @@
   Calls.Ownership(Change);
 }
 
+void DispatchService::perform(const AdmissionDecided &Decision) {
+  logEvent(events::AdmissionRefused,
+           {{"job", Decision.Job},
+            {"tasks", std::to_string(Decision.Tasks)},
+            {"wait_ms", std::to_string(Decision.WaitMs)},
+            {"free_places", std::to_string(Decision.FreePlaces)},
+            {"jobs_ahead", std::to_string(Decision.JobsAhead)},
+            {"peer_places", std::to_string(Decision.PeerPlaces)},
+            {"owned", std::to_string(Decision.Owned)},
+            {"usable", std::to_string(Decision.Usable)}});
+}
+
 void DispatchService::perform(const RunDecided &Decision) {
   logEvent(
       events::RunDecided,
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -140,6 +140,8 @@
   void expireJobs(Instant Now);
   /// Ends waiting jobs that cannot start in time any more.
   void refuseLate(Instant Now);
+  void logAdmission(const Job &Of, JobReason Reason, Duration Wait,
+                    Instant Now);
   /// Returns true if a job that starts after \p Wait would not be in time.
   bool tooLate(const Job &Of, Duration Wait, Instant Now) const;
 
@@ -157,6 +159,8 @@
   bool placeTasks(Job &Of, std::vector<Resources> &TooLarge, Instant Now);
   Backend *choose(const Job &Of, std::size_t Step,
                   const detail::TaskState &Task, Instant Now);
+  /// Owned, reachable, not leaving and not ejected.
+  static bool usable(const Backend &Of, Instant Now);
   bool eligible(const Backend &Of, const Job &For, std::size_t Step,
                 Instant Now) const;
   void start(Backend &On, Job &Of, std::size_t Step, std::size_t Index,
@@ -189,9 +193,11 @@
   void giveUpBackend(Backend &Of, const std::string &Why);
   void tickBackend(Backend &Of, Instant Now);
   void repeatStops(Backend &Of, Instant Now);
-  void learnPace(const Backend &Of, const Run &Ended, Instant Now);
+  void learnPace(Backend &Of, const Run &Ended, Instant Now);
   /// Smoothed ratio of run times to estimates on machines of this kind.
   double paceOf(const Backend &Of) const;
+  /// Returns true if runs there take much longer than on others of its kind.
+  bool slow(const Backend &Of) const;
   void log(const Backend &On, const TaskId &Task, uint64_t Number,
            const std::string &What);
   uint64_t tokenOf(uint64_t Term) const;
--- a/src/dispatch/internal/backendstate.h
+++ b/src/dispatch/internal/backendstate.h
@@ -66,6 +66,8 @@
   Instant HoldSent;
   /// Time for the next hold order while none is open.
   Instant NextHold;
+  /// Smoothed ratio of its run times to those expected of its kind.
+  double Slowness = 1;
   /// Gets no new tasks and is handed to another owner once it is empty.
   bool Releasing = false;
 
--- a/src/dispatch/internal/dispatcherjobs.cpp
+++ b/src/dispatch/internal/dispatcherjobs.cpp
@@ -118,6 +118,7 @@
   // A job that cannot meet its latency objective is refused at once, so that
   // the caller can turn elsewhere and the jobs ahead of it are still in time.
   if (tooLate(Made, Wait, Now)) {
+    logAdmission(Made, JobReason::Overloaded, Wait, Now);
     const int64_t RetryMs =
         Wait == Duration::max() ? NoBackendRetryMs : millisecondsOf(Wait);
     answer(From, Request.Id, JobResult::NotRun, JobReason::Overloaded, RetryMs);
@@ -238,6 +239,27 @@
   Queue.insert(keyOf(Found->second));
 }
 
+void Dispatcher::logAdmission(const Job &Of, JobReason Reason, Duration Wait,
+                              Instant Now) {
+  AdmissionDecided Told;
+  Told.Job = Of.Request.Id;
+  Told.Reason = Reason;
+  for (const StepRequest &Step : Of.Request.Steps)
+    Told.Tasks += Step.Count;
+  Told.WaitMs = Wait == Duration::max() ? -1 : millisecondsOf(Wait);
+  const PlaceForecast Places =
+      places(Of.Request.Policy.Service, Of.Request.Steps.front().Need, Now);
+  Told.FreePlaces = Places.freeNow();
+  Told.JobsAhead = Queue.size();
+  for (const auto &[Vm, Load] : Peers)
+    Told.PeerPlaces = std::max(Told.PeerPlaces, Load.FreePlaces);
+  for (const auto &[Id, Each] : Backends) {
+    Told.Owned += Each.Mode == detail::OwnerMode::Owned ? 1U : 0U;
+    Told.Usable += usable(Each, Now) ? 1U : 0U;
+  }
+  Effects.emplace_back(std::move(Told));
+}
+
 bool Dispatcher::tooLate(const Job &Of, Duration Wait, Instant Now) const {
   // Estimates are rough: a job that can start at once may still be in time.
   if (Wait <= Duration::zero())
@@ -264,6 +286,8 @@
     if (!Of.Started && tooLate(Of, Wait, Now))
       Late.emplace_back(Key.Job, Wait);
   }
+  for (const auto &[Name, Wait] : Late)
+    logAdmission(Jobs.at(Name), JobReason::Overloaded, Wait, Now);
   for (const auto &[Name, Wait] : Late)
     endJob(Name, JobResult::NotRun, JobReason::Overloaded, Now,
            Wait == Duration::max() ? NoBackendRetryMs : millisecondsOf(Wait));
--- a/src/dispatch/internal/dispatcherownership.cpp
+++ b/src/dispatch/internal/dispatcherownership.cpp
@@ -149,6 +149,7 @@
     runGone(Of, Task, Now);
   Of.Clock = {};
   Of.Health = {};
+  Of.Slowness = 1;
   Of.Life = NextLife++;
   Of.ConfirmedEnds = 0;
   Of.HoldOpen = false;
--- a/src/dispatch/internal/dispatcherplacement.cpp
+++ b/src/dispatch/internal/dispatcherplacement.cpp
@@ -37,13 +37,16 @@
 
 } // namespace
 
+bool Dispatcher::usable(const Backend &Of, Instant Now) {
+  return Of.Mode == OwnerMode::Owned && !Of.Suspect && !Of.Releasing &&
+         !Of.Report.Draining && Now >= Of.Health.EjectedUntil;
+}
+
 PlaceForecast Dispatcher::places(const std::string &Service,
                                  const Resources &Need, Instant Now) const {
   std::vector<Duration> FreeAfter;
   for (const auto &[Id, Of] : Backends) {
-    if (Of.Mode != OwnerMode::Owned || Of.Suspect || Of.Releasing ||
-        Of.Report.Draining || Of.Report.Service != Service ||
-        Now < Of.Health.EjectedUntil)
+    if (!usable(Of, Now) || Of.Report.Service != Service)
       continue;
     if (Of.Health.OnProbation) {
       if (Of.Runs.empty())
@@ -193,8 +196,7 @@
 bool Dispatcher::eligible(const Backend &Of, const Job &For, std::size_t Step,
                           Instant Now) const {
   const StepRequest &Shape = For.Request.Steps[Step];
-  if (Of.Mode != OwnerMode::Owned || Of.Suspect || Of.Releasing ||
-      Of.Report.Draining || !Of.Clock.known() ||
+  if (!usable(Of, Now) || !Of.Clock.known() ||
       Of.Report.Service != For.Request.Policy.Service ||
       !fits(Shape.Need, Of.room()) || !mayPlace(Of.Health, Of.Runs.size(), Now))
     return false;
@@ -220,7 +222,7 @@
         !Shape.DataRack.empty() && !hasLabel(Each.Report, Shape.DataRack);
     const double Pace = std::round(paceOf(Each) / PaceStep);
     const std::tuple Rank(Id == Task.Avoid, FarFromData,
-                          Each.Health.FailuresInRow > 0, Pace,
+                          Each.Health.FailuresInRow > 0 || slow(Each), Pace,
                           (Each.room() - Shape.Need).MilliCores);
     if (Best != nullptr && Rank >= BestRank)
       continue;
--- a/src/dispatch/internal/dispatcherruns.cpp
+++ b/src/dispatch/internal/dispatcherruns.cpp
@@ -15,6 +15,11 @@
 /// Share of the estimate after which the progress of a run tells its speed.
 constexpr double ProgressShare = 0.1;
 
+/// Weight of the newest run in the slowness of one backend server, and the
+/// slowness from which it gets work last.
+constexpr double SlownessWeight = 0.3;
+constexpr double SlowRatio = 2.2;
+
 /// Least progress, in percent, that tells the speed of a run well enough.
 constexpr int64_t LeastPercent = 8;
 
@@ -367,7 +372,11 @@
   return Found == KindPaces.end() ? 1 : Found->second;
 }
 
-void Dispatcher::learnPace(const Backend &Of, const Run &Ended, Instant Now) {
+bool Dispatcher::slow(const Backend &Of) const {
+  return Of.Slowness > SlowRatio;
+}
+
+void Dispatcher::learnPace(Backend &Of, const Run &Ended, Instant Now) {
   if (Ended.Estimate <= Duration::zero() || !Ended.SeenAt ||
       Of.Report.Labels.empty())
     return;
@@ -375,6 +384,8 @@
                        std::chrono::duration<double>(Ended.Estimate);
   double &Pace =
       KindPaces.try_emplace(Of.Report.Labels.front(), 1).first->second;
+  Of.Slowness +=
+      SlownessWeight * (std::clamp(Ratio / Pace, 0.25, 8.0) - Of.Slowness);
   Pace += PaceWeight * (std::clamp(Ratio, 0.25, 4.0) - Pace);
 }
 
--- a/src/dispatch/types/dispatcheffect.h
+++ b/src/dispatch/types/dispatcheffect.h
@@ -82,8 +82,25 @@
   int64_t Percent = 0;
 };
 
-using DispatchEffect = std::variant<StartOrder, StopOrder, HoldOrder, JobAnswer,
-                                    OwnershipChanged, RunDecided>;
+/// Why a job was not admitted, for the log.
+struct AdmissionDecided {
+  std::string Job;
+  JobReason Reason = JobReason::None;
+  uint32_t Tasks = 0;
+  /// Expected wait until the last task starts; negative if there is no place.
+  int64_t WaitMs = 0;
+  std::size_t FreePlaces = 0;
+  std::size_t JobsAhead = 0;
+  /// Most places that another dispatcher said to be free.
+  uint32_t PeerPlaces = 0;
+  /// Backend servers that are owned, and those of them that may take tasks.
+  std::size_t Owned = 0;
+  std::size_t Usable = 0;
+};
+
+using DispatchEffect =
+    std::variant<StartOrder, StopOrder, HoldOrder, JobAnswer, OwnershipChanged,
+                 RunDecided, AdmissionDecided>;
 
 } // namespace sapphiremoor
 
--- a/src/dispatch/types/dispatchlimits.h
+++ b/src/dispatch/types/dispatchlimits.h
@@ -29,8 +29,9 @@
   /// Failed runs in a row after which a backend server gets no work for a
   /// while.
   int FailuresToEject = 2;
-  Duration EjectTime = std::chrono::milliseconds(1000);
-  Duration LongestEject = std::chrono::seconds(8);
+  Duration EjectTime = std::chrono::milliseconds(700);
+  /// A single run is the price of a probe, idle machines that of a long wait.
+  Duration LongestEject = std::chrono::seconds(2);
   /// Times that a job may be sent on to another dispatcher.
   uint8_t MostRedirects = 2;
   /// Allowance for messages and processing in forecasts.
--- a/src/framework/eventlog/event.h
+++ b/src/framework/eventlog/event.h
@@ -40,6 +40,7 @@
 inline constexpr Event RunDecided{405, Level::Info, "run_decided"};
 inline constexpr Event JobAnswered{406, Level::Info, "job_answered"};
 inline constexpr Event LinesDropped{407, Level::Warning, "lines_dropped"};
+inline constexpr Event AdmissionRefused{408, Level::Info, "admission_refused"};
 inline constexpr Event LeaderElected{500, Level::Info, "leader_elected"};
 inline constexpr Event ChangeAccepted{501, Level::Info, "change_accepted"};
 inline constexpr Event ChangeInForce{502, Level::Info, "change_in_force"};
--- a/src/framework/eventlog/internal/eventlog.cpp
+++ b/src/framework/eventlog/internal/eventlog.cpp
@@ -40,11 +40,12 @@
     events::PrefixSealed,     events::RequestRejected,
     events::JobDispatched,    events::RunDecided,
     events::JobAnswered,      events::LinesDropped,
-    events::LeaderElected,    events::ChangeAccepted,
-    events::ChangeInForce,    events::StorageFailed,
-    events::LogRecovered,     events::ChunkRejected,
-    events::VotersChanging,   events::ChangeRefused,
-    events::ReadinessChanged, events::SettingsReloaded};
+    events::AdmissionRefused, events::LeaderElected,
+    events::ChangeAccepted,   events::ChangeInForce,
+    events::StorageFailed,    events::LogRecovered,
+    events::ChunkRejected,    events::VotersChanging,
+    events::ChangeRefused,    events::ReadinessChanged,
+    events::SettingsReloaded};
 
 } // namespace
 
