--- a/src/dispatch/internal/dispatcherplacement.cpp
+++ b/src/dispatch/internal/dispatcherplacement.cpp
@@ -150,9 +150,8 @@
   std::ranges::transform(Queue, std::back_inserter(Order), &QueueKey::Job);
   for (const std::string &Name : Order) {
     const bool Full = placeTasks(Jobs.at(Name), TooLarge, Now);
-    // One shape that did not fit stands for the others: tasks of one service
-    // differ little.
-    constexpr std::size_t ShapesTried = 4;
+    // Smaller tasks of later jobs fill room that is of no use to those ahead.
+    constexpr std::size_t ShapesTried = 12;
     if (Full && TooLarge.size() >= ShapesTried)
       return;
   }
