--- a/src/cluster/internal/backenddirectory.cpp
+++ b/src/cluster/internal/backenddirectory.cpp
@@ -17,9 +17,12 @@
 /// covers several reports.
 constexpr Duration ForgetAfter = std::chrono::seconds(10);
 
-/// Only a backend server that was heard lately is taken over: one behind a
-/// partition is left to the owner on its side.
-constexpr Duration FreshFor = std::chrono::milliseconds(2500);
+/// A backend server that was heard lately is taken over at once. Another one
+/// may be behind a partition, with its owner: it is probed for some time, in
+/// which an owner that comes back shows up.
+constexpr Duration FreshFor = std::chrono::milliseconds(1800);
+constexpr Duration ProbePause = std::chrono::milliseconds(250);
+constexpr Duration ProbedFor = std::chrono::milliseconds(300);
 
 /// At the start the other control VMs are not known yet; nothing of another
 /// data centre is taken before they had time to show up.
@@ -195,10 +198,15 @@
   const bool Fresh = Now - Of.Heard <= FreshFor;
   const bool SameDataCentre = Of.Report.DataCentre == Bus.dataCentre();
   const bool Settled = SameDataCentre || Now - Started > StartGrace;
-  if (!Own || !MayTake || Claimed || !Fresh || !Settled || Now < Of.NextAttempt)
+  if (!Own || !MayTake || Claimed || !Settled || Now < Of.NextAttempt)
     return;
-  Of.NextAttempt = Now + FencedPause;
-  Decisions.acquire(Id, termNow(), Now);
+  if (Fresh || Decisions.reachableFor(Id, Now) >= ProbedFor) {
+    Of.NextAttempt = Now + FencedPause;
+    Decisions.acquire(Id, termNow(), Now);
+    return;
+  }
+  Of.NextAttempt = Now + ProbePause;
+  Decisions.probe(Id, Now);
 }
 
 } // namespace sapphiremoor
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -67,6 +67,10 @@
   /// Takes the backend server with a token of \p Term or above. \p Term rises
   /// with the time of day, so that a later owner has a higher one.
   void acquire(const std::string &Id, uint64_t Term, Instant Now);
+  /// Asks a backend server of another owner for a sign of life.
+  void probe(const std::string &Id, Instant Now);
+  /// Returns for how long probes of it have been answered.
+  Duration reachableFor(const std::string &Id, Instant Now) const;
   /// Places nothing more there and gives it up once it is empty.
   void release(const std::string &Id, Instant Now);
   bool owns(const std::string &Id) const;
@@ -186,6 +190,7 @@
   bool hopeless(const Job &Of, Duration Age, int64_t Percent,
                 Instant Now) const;
   void stopStrangers(Backend &On, const RunList &List, Instant Now);
+  void probeAnswered(Backend &Of, Instant Now);
   void becomeOwned(Backend &Of, Instant Now);
   void fenced(Backend &Of, Instant Now);
   void newLife(Backend &Of, Instant Now);
--- a/src/dispatch/internal/backendstate.h
+++ b/src/dispatch/internal/backendstate.h
@@ -41,6 +41,8 @@
 enum class OwnerMode {
   /// Another VM may use it.
   Foreign,
+  /// Foreign, and being asked whether it can be reached, without a right to it.
+  Probing,
   /// Taken with a token; what the former owner left has not ended yet.
   Acquiring,
   Owned,
@@ -64,6 +66,11 @@
   bool Suspect = false;
   bool HoldOpen = false;
   Instant HoldSent;
+  /// Since when probes have been answered, and the last one that was.
+  std::optional<Instant> ReachableSince;
+  Instant ReachedAt;
+  /// Begin of the attempt to take it.
+  Instant AcquireSince;
   /// Time for the next hold order while none is open.
   Instant NextHold;
   /// Smoothed ratio of its run times to those expected of its kind.
--- a/src/dispatch/internal/dispatcherownership.cpp
+++ b/src/dispatch/internal/dispatcherownership.cpp
@@ -17,9 +17,16 @@
 constexpr uint64_t TermRaise = 20;
 constexpr int MostTokenRaises = 6;
 
-/// A backend server that was taken and never answered is given up after this
-/// time.
-constexpr Duration AcquireLimit = std::chrono::seconds(3);
+/// An attempt to take a backend server that does not answer ends after this
+/// time. A late one could fence an owner that works behind a healed partition.
+constexpr Duration AcquireLimit = std::chrono::milliseconds(800);
+
+/// A start that was not resolved in an earlier life is kept for this time while
+/// the new life does not answer.
+constexpr Duration UnresolvedLimit = std::chrono::seconds(3);
+
+/// Probes that were answered longer ago tell nothing about now.
+constexpr Duration ProbeValidity = std::chrono::milliseconds(1200);
 
 } // namespace
 
@@ -69,9 +76,10 @@
     return;
   Backend &Of = Found->second;
   Of.Releasing = false;
-  if (Of.Mode != OwnerMode::Foreign)
+  if (Of.Mode != OwnerMode::Foreign && Of.Mode != OwnerMode::Probing)
     return;
   Of.Mode = OwnerMode::Acquiring;
+  Of.AcquireSince = Now;
   Of.Token = std::max(Of.Token, tokenOf(Term));
   Of.TokenRaises = 0;
   Of.Suspect = false;
@@ -80,9 +88,35 @@
   sendHold(Of, Now);
 }
 
+void Dispatcher::probe(const std::string &Id, Instant Now) {
+  const auto Found = Backends.find(Id);
+  if (Found == Backends.end() || Found->second.Mode != OwnerMode::Foreign)
+    return;
+  Backend &Of = Found->second;
+  Of.Mode = OwnerMode::Probing;
+  Of.Life = NextLife++;
+  Of.HoldOpen = false;
+  sendHold(Of, Now);
+}
+
+Duration Dispatcher::reachableFor(const std::string &Id, Instant Now) const {
+  const auto Found = Backends.find(Id);
+  if (Found == Backends.end() || !Found->second.ReachableSince ||
+      Now - Found->second.ReachedAt > ProbeValidity)
+    return Duration::zero();
+  return Now - *Found->second.ReachableSince;
+}
+
+void Dispatcher::probeAnswered(Backend &Of, Instant Now) {
+  Of.Mode = OwnerMode::Foreign;
+  if (!Of.ReachableSince || Now - Of.ReachedAt > ProbeValidity)
+    Of.ReachableSince = Now;
+  Of.ReachedAt = Now;
+}
+
 void Dispatcher::release(const std::string &Id, Instant) {
   const auto Found = Backends.find(Id);
-  if (Found == Backends.end() || Found->second.Mode == OwnerMode::Foreign)
+  if (!involved(Id))
     return;
   Found->second.Releasing = true;
   if (Found->second.Runs.empty())
@@ -104,7 +138,8 @@
 
 bool Dispatcher::involved(const std::string &Id) const {
   const auto Found = Backends.find(Id);
-  return Found != Backends.end() && Found->second.Mode != OwnerMode::Foreign;
+  return Found != Backends.end() && Found->second.Mode != OwnerMode::Foreign &&
+         Found->second.Mode != OwnerMode::Probing;
 }
 
 void Dispatcher::becomeOwned(Backend &Of, Instant Now) {
@@ -130,6 +165,7 @@
 
 void Dispatcher::takeAgain(Backend &Of, Instant Now) {
   Of.Mode = OwnerMode::Acquiring;
+  Of.AcquireSince = Now;
   Of.Token = tokenOf((Of.Token >> OwnerTagBits) + 1);
   Of.TokenRaises = 0;
   Of.Life = NextLife++;
@@ -160,7 +196,7 @@
 
 void Dispatcher::giveUpBackend(Backend &Of, const std::string &Why) {
   Of.Releasing = false;
-  if (Of.Mode == OwnerMode::Foreign)
+  if (Of.Mode == OwnerMode::Foreign || Of.Mode == OwnerMode::Probing)
     return;
   Of.Mode = Of.Runs.empty() ? OwnerMode::Foreign : OwnerMode::Lost;
   Effects.emplace_back(OwnershipChanged{Of.Report.Id, false, Why});
@@ -176,6 +212,7 @@
 void Dispatcher::tickBackend(Backend &Of, Instant Now) {
   switch (Of.Mode) {
   case OwnerMode::Foreign:
+  case OwnerMode::Probing:
     return;
   case OwnerMode::Lost:
     if (!Of.Clock.expired(Now))
@@ -184,9 +221,12 @@
     Of.Mode = OwnerMode::Foreign;
     return;
   case OwnerMode::Acquiring:
-    if (!Of.Runs.empty() && Of.Suspect && Now - Of.HoldSent > AcquireLimit)
-      allRunsGone(Of, Now);
-    break;
+    if (!Of.Suspect || Now - Of.AcquireSince <
+                           (Of.Runs.empty() ? AcquireLimit : UnresolvedLimit))
+      break;
+    allRunsGone(Of, Now);
+    giveUpBackend(Of, "unreachable");
+    return;
   case OwnerMode::Owned:
     if (Of.Suspect && !Of.Runs.empty() && Of.Clock.expired(Now)) {
       allRunsGone(Of, Now);
--- a/src/dispatch/internal/dispatcherruns.cpp
+++ b/src/dispatch/internal/dispatcherruns.cpp
@@ -67,6 +67,11 @@
   if (On.HoldOpen)
     return;
   HoldOrder Order{target(On), {}, On.ConfirmedEnds, 0};
+  if (On.Mode == OwnerMode::Probing) {
+    // Without a token it changes nothing and is refused by an owned one.
+    Order.To.FencingToken = 0;
+    Order.ConfirmedEnds = 0;
+  }
   // While answers are missing the lease is not extended: it has to end, so that
   // what runs there can be started elsewhere.
   if (On.Mode == OwnerMode::Owned && !On.Runs.empty() && On.Clock.known() &&
@@ -203,6 +208,10 @@
   if (On == nullptr)
     return;
   On->HoldOpen = false;
+  if (On->Mode == OwnerMode::Probing) {
+    probeAnswered(*On, Now);
+    return;
+  }
   if (List.Born && *List.Born != On->Report.Born) {
     On->Report.Born = *List.Born;
     newLife(*On, Now);
@@ -237,6 +246,12 @@
   if (On == nullptr)
     return;
   On->HoldOpen = false;
+  if (On->Mode == OwnerMode::Probing) {
+    On->Mode = OwnerMode::Foreign;
+    if (Failure == HoldFailure::Fenced)
+      probeAnswered(*On, Now);
+    return;
+  }
   switch (Failure) {
   case HoldFailure::Fenced:
     fenced(*On, Now);
--- a/src/dispatch/tests/dispatcher_test.cpp
+++ b/src/dispatch/tests/dispatcher_test.cpp
@@ -181,6 +181,38 @@
   CHECK(World.Violations.empty());
 }
 
+// Guards against a late attempt that fences an owner behind a healed partition.
+TEST_CASE("a probe neither takes a backend server nor waits for an answer") {
+  FakeBackends World(15);
+  prepare(World, 1);
+  World.submit("d1", simpleJob("j1", 2, 300));
+  World.addDispatcher("d2", 2);
+  World.tell("b0", "d2");
+  World.probe("b0", "d2");
+  World.run(milliseconds(50));
+  World.probe("b0", "d2");
+  World.run(milliseconds(50));
+  CHECK(World.dispatcher("d2").reachableFor("b0", World.Now) > Duration(0));
+  CHECK_FALSE(World.dispatcher("d2").involved("b0"));
+  CHECK(World.dispatcher("d1").owns("b0"));
+  World.silence("b0", true);
+  World.run(seconds(2));
+  World.probe("b0", "d2");
+  World.run(milliseconds(400));
+  CHECK(World.dispatcher("d2").reachableFor("b0", World.Now) == Duration(0));
+}
+
+// Guards against an attempt to take a silent backend server that never ends.
+TEST_CASE("an attempt to take a silent backend server ends") {
+  FakeBackends World(16);
+  World.addDispatcher("d1", 1);
+  World.addBackend("b0", Small);
+  World.silence("b0", true);
+  World.give("b0", "d1");
+  World.run(seconds(2));
+  CHECK_FALSE(World.dispatcher("d1").involved("b0"));
+}
+
 // Guards against callers that hang after their VM has been lost.
 TEST_CASE("jobs of a lost entry VM are stopped") {
   FakeBackends World(11);
--- a/src/dispatch/tests/fakebackends.cpp
+++ b/src/dispatch/tests/fakebackends.cpp
@@ -54,8 +54,17 @@
   Added.Booted = Now - std::chrono::seconds(7);
 }
 
-void FakeBackends::give(const std::string &Backend, const std::string &Owner) {
+void FakeBackends::tell(const std::string &Backend, const std::string &Owner) {
   dispatcher(Owner).backendReported(Servers.at(Backend).Report, Now);
+}
+
+void FakeBackends::probe(const std::string &Backend, const std::string &Owner) {
+  dispatcher(Owner).probe(Backend, Now);
+  collect(Owner);
+}
+
+void FakeBackends::give(const std::string &Backend, const std::string &Owner) {
+  tell(Backend, Owner);
   dispatcher(Owner).acquire(Backend, NextTerm++, Now);
   collect(Owner);
 }
@@ -167,7 +176,7 @@
   const auto Answered = std::make_shared<bool>(false);
   const auto Deliver = [this, Name, Answered](const Told &What) {
     if (!std::exchange(*Answered, true))
-      tell(Name, What);
+      deliver(Name, What);
   };
   std::uniform_real_distribution<double> Share(0, 1);
   const bool Late = Share(Rng) < LateShare;
@@ -186,10 +195,10 @@
   at(Now + Timeout, [Deliver, NoAnswer] { Deliver(NoAnswer); });
 }
 
-void FakeBackends::tell(const std::string &Name, const Told &What) {
+void FakeBackends::deliver(const std::string &Name, const Told &What) {
   Owner &Asker = Owners.at(Name);
   if (Asker.Frozen) {
-    at(Now + TickPeriod, [this, Name, What] { tell(Name, What); });
+    at(Now + TickPeriod, [this, Name, What] { deliver(Name, What); });
     return;
   }
   What(*Asker.Decisions);
--- a/src/dispatch/tests/fakebackends.h
+++ b/src/dispatch/tests/fakebackends.h
@@ -27,6 +27,10 @@
   /// Reports a backend server to a dispatcher and lets it take it.
   void give(const std::string &Backend, const std::string &Owner);
 
+  /// Reports a backend server to a dispatcher.
+  void tell(const std::string &Backend, const std::string &Owner);
+  void probe(const std::string &Backend, const std::string &Owner);
+
   void submit(const std::string &At, const JobSubmission &Job);
   void run(Duration Time);
 
@@ -101,7 +105,7 @@
   StartAnswer start(Server &At, const StartOrder &Order);
   StopAnswerKind stop(Server &At, const StopOrder &Order);
   /// Hands an answer over, once the dispatcher is not frozen.
-  void tell(const std::string &Name, const Told &What);
+  void deliver(const std::string &Name, const Told &What);
   HoldAnswer list(Server &At, const HoldOrder &Order);
   bool hold(Server &At, const HoldOrder &Order);
   void end(Server &At, const TaskId &Task, RunEnd How);
