--- a/src/cluster/internal/clusterbus.cpp
+++ b/src/cluster/internal/clusterbus.cpp
@@ -62,7 +62,8 @@
 void ClusterBus::addSeeds(const std::vector<Endpoint> &Named) {
   Seeds.insert(Named.begin(), Named.end());
   for (const Endpoint &At : Named)
-    Mesh.dial(At);
+    if (At != Of.Advertised)
+      Mesh.dial(At);
 }
 
 bool ClusterBus::send(const std::string &To, const ClusterMessage &Message) {
@@ -94,7 +95,7 @@
 }
 
 MemberInfo ClusterBus::describeSelf() const {
-  return {Self, Of.Role, Of.DataCentre, Of.Peer, Draining};
+  return {Self, Of.Role, Of.DataCentre, Of.Advertised, Draining};
 }
 
 void ClusterBus::received(const VmId &From, std::string_view Payload) {
--- a/src/cluster/internal/clustersettingsfile.cpp
+++ b/src/cluster/internal/clustersettingsfile.cpp
@@ -196,6 +196,7 @@
   Read.DataCentre = Of.text("data_centre", true);
   Read.Role = roleOf(Of);
   Read.Peer = Of.endpoint("peer", true).value_or(Endpoint{});
+  Read.Advertised = Of.endpoint("advertised_peer", false).value_or(Read.Peer);
   Read.Seeds = Of.endpoints("seeds");
   const auto SeedPort =
       static_cast<uint16_t>(Of.number("seed_port", 0, 0, 65535));
--- a/src/cluster/internal/registerservice.cpp
+++ b/src/cluster/internal/registerservice.cpp
@@ -21,7 +21,7 @@
 VoterSet firstVoters(const ClusterSettings &Of) {
   VoterSet First{1, {}};
   std::ranges::transform(Of.Seeds, std::back_inserter(First.Voters),
-                         &Endpoint::Address);
+                         [](const Endpoint &At) { return describe(At); });
   std::ranges::sort(First.Voters);
   const auto Repeated = std::ranges::unique(First.Voters);
   First.Voters.erase(Repeated.begin(), Repeated.end());
@@ -41,7 +41,7 @@
   if (isError(Opened))
     return errorOf(Opened);
   OpenedLog Parts = takeValue(std::move(Opened));
-  RegisterStart Start{Of.Peer.Address, {}, {}};
+  RegisterStart Start{describe(Of.Advertised), {}, {}};
   if (Parts.Recovered.State) {
     Result<AcceptorState> Read = decode<AcceptorState>(*Parts.Recovered.State);
     if (isError(Read))
@@ -85,7 +85,7 @@
   const MemberInfo *Sender = Bus.members().find(From.Name);
   if (Sender == nullptr)
     return;
-  Node->received(Sender->Peer.Address, Message, Loop.now());
+  Node->received(describe(Sender->Peer), Message, Loop.now());
   run();
 }
 
@@ -121,9 +121,9 @@
 }
 
 void RegisterService::sendTo(const SendToVoter &Message) {
-  if (Message.To == Of.Peer.Address) {
+  if (Message.To == describe(Of.Advertised)) {
     Loop.post([this, Own = Message.Message] {
-      Node->received(Of.Peer.Address, Own, Loop.now());
+      Node->received(describe(Of.Advertised), Own, Loop.now());
       run();
     });
     return;
@@ -172,16 +172,16 @@
 
 void RegisterService::considerVoters() {
   const VoterSet &Voters = Node->voters();
-  if (!Node->chosen() || !isVoter(Voters, Of.Peer.Address))
+  if (!Node->chosen() || !isVoter(Voters, describe(Of.Advertised)))
     return;
   const Instant Now = Loop.now();
   VoterCandidates Known;
   Known.Wanted = 2 * Of.ToleratedLosses + 1;
   for (const MemberInfo &Each : Bus.liveControls())
-    Known.Live.insert(Each.Peer.Address);
+    Known.Live.insert(describe(Each.Peer));
   for (const std::string &Voter : Voters.Voters) {
     const MemberInfo *Member = Bus.members().findByAddress(Voter);
-    if (Voter == Of.Peer.Address || Member == nullptr)
+    if (Voter == describe(Of.Advertised) || Member == nullptr)
       continue;
     const auto Silence = Bus.members().silence(Member->Id.Name, Now);
     if (Silence && *Silence > VoterGoneAfter)
@@ -192,7 +192,7 @@
       std::ranges::find_if(Voters.Voters, [&Known](const std::string &Voter) {
         return Known.Live.contains(Voter);
       });
-  if (First == Voters.Voters.end() || *First != Of.Peer.Address)
+  if (First == Voters.Voters.end() || *First != describe(Of.Advertised))
     return;
   if (const auto Next = nextVoters(Voters, Known)) {
     logEvent(events::VotersChanging,
--- a/src/cluster/types/clustersettings.h
+++ b/src/cluster/types/clustersettings.h
@@ -19,6 +19,9 @@
   MemberRole Role = MemberRole::Entry;
   /// Where links from other VMs are accepted.
   Endpoint Peer;
+  /// The address under which other VMs reach Peer, and the name of this VM as a
+  /// voter.
+  Endpoint Advertised;
   /// Control VMs that are dialled first. The setting seed_port replaces their
   /// ports, for lists that name another listener of the same VMs.
   std::vector<Endpoint> Seeds;
--- a/src/discovery/internal/memberview.cpp
+++ b/src/discovery/internal/memberview.cpp
@@ -62,7 +62,7 @@
 const MemberInfo *MemberView::findByAddress(const std::string &Address) const {
   const Member *Newest = nullptr;
   for (const auto &[Name, Each] : Members)
-    if (Each.Info.Peer.Address == Address &&
+    if (describe(Each.Info.Peer) == Address &&
         (Newest == nullptr || Newest->Any < Each.Any))
       Newest = &Each;
   return Newest == nullptr ? nullptr : &Newest->Info;
--- a/src/discovery/memberview.h
+++ b/src/discovery/memberview.h
@@ -42,7 +42,7 @@
   /// Time since anybody heard it.
   std::optional<Duration> silence(const std::string &Name, Instant Now) const;
   const MemberInfo *find(const std::string &Name) const;
-  /// Returns the newest VM at this address.
+  /// Returns the newest VM at this address, written "address:port".
   const MemberInfo *findByAddress(const std::string &Address) const;
 
   /// All known VMs with \p Role, by name.
--- /dev/null
+++ b/tests/soak/ledger.cpp
@@ -0,0 +1,86 @@
+#include "tests/soak/ledger.h"
+
+#include <nlohmann/json.hpp>
+
+namespace sapphiremoor::soak {
+
+namespace {
+
+std::string jobOf(const std::string &Task) {
+  return Task.substr(0, Task.find('.'));
+}
+
+uint64_t versionOf(const std::string &Body) {
+  const auto Root = nlohmann::json::parse(Body, nullptr, false);
+  if (!Root.is_object() || !Root.contains("version"))
+    return 0;
+  return Root["version"].get<uint64_t>();
+}
+
+} // namespace
+
+void Ledger::submitted(const std::string &Job, unsigned Tasks) {
+  Jobs[Job].Tasks = Tasks;
+}
+
+void Ledger::started(const std::string &Backend, const std::string &Task) {
+  const auto Job = Jobs.find(jobOf(Task));
+  if (Job == Jobs.end()) {
+    broken("started a task that nobody sent: " + Task);
+    return;
+  }
+  Job->second.Started = true;
+  const auto [Place, New] = Running.emplace(Task, Backend);
+  if (!New)
+    broken("two runs of " + Task + " on " + Place->second + " and " + Backend);
+}
+
+void Ledger::ended(const std::string &Backend, const std::string &Task,
+                   bool TaskDone) {
+  const auto Place = Running.find(Task);
+  if (Place != Running.end() && Place->second == Backend)
+    Running.erase(Place);
+  if (TaskDone)
+    Jobs[jobOf(Task)].TasksDone.insert(Task);
+}
+
+void Ledger::overfilled(const std::string &Backend) {
+  broken("over its capacity: " + Backend);
+}
+
+void Ledger::answered(const std::string &Job, int Status,
+                      const std::string &Body) {
+  constexpr int Ok = 200;
+  constexpr int NotRun = 503;
+  JobRecord &Of = Jobs[Job];
+  if (Status == Ok && Body.find("done") != std::string::npos) {
+    ++Done;
+    if (Of.TasksDone.size() != Of.Tasks)
+      broken("said done with tasks that are not: " + Job);
+  } else if (Status == NotRun) {
+    ++Refused;
+    if (Of.Started && !Of.Open)
+      broken("said not run, but it had: " + Job);
+  } else {
+    ++Other;
+    Of.Open = true;
+  }
+}
+
+void Ledger::unanswered(const std::string &Job, const std::string &Vm) {
+  broken("no answer from the undisturbed " + Vm + " for " + Job);
+}
+
+void Ledger::configAcknowledged(uint64_t Version, const std::string &Body) {
+  Acknowledged[Version] = Body;
+  Newest = std::max(Newest, Version);
+}
+
+void Ledger::configRead(uint64_t Floor, const std::string &Body) {
+  const uint64_t Version = versionOf(Body);
+  if (Version < Floor)
+    broken("read version " + std::to_string(Version) + " after " +
+           std::to_string(Floor) + " was acknowledged");
+}
+
+} // namespace sapphiremoor::soak
