Drop what arrived while a VM stood still

Change: StallWatch looks at the time since boot before any input is acted on; after a stall all links break, control VMs give up all jobs and entry VMs answer theirs.

--- a/src/cluster/clusterbus.h
+++ b/src/cluster/clusterbus.h
@@ -21,6 +21,8 @@
     std::function<void(const VmId &, const ClusterMessage &)> Message;
     std::function<void(const VmId &)> Up;
     std::function<void(const VmId &)> Down;
+    /// Returns true if this VM stood still; what was received is dropped then.
+    std::function<bool()> Stalled;
     /// Fills the parts of the own heartbeat that the owner knows.
     std::function<void(ClusterHeartbeat &)> Describe;
   };
@@ -37,6 +39,8 @@
   /// Sends to each VM of \p Role that is linked.
   void sendToRole(MemberRole Role, const ClusterMessage &Message);
   void drain();
+  /// Breaks all links: what waits in them is old.
+  void dropLinks() { Mesh.closeAll(); }
 
   const MemberView &members() const { return View; }
   const VmId &self() const { return Self; }
--- a/src/cluster/controlnode.h
+++ b/src/cluster/controlnode.h
@@ -6,6 +6,7 @@
 #include "cluster/dispatchservice.h"
 #include "cluster/registerservice.h"
 #include "framework/metrics/registry.h"
+#include "framework/net/stallwatch.h"
 
 #include <functional>
 
@@ -31,6 +32,7 @@
   void received(const VmId &From, const ClusterMessage &Message);
   void heartbeat(const VmId &From, const ClusterHeartbeat &Message);
   void chosen(const RegisterValue &Value);
+  void stalled();
 
   EventLoop &Loop;
   const ClusterSettings &Of;
@@ -40,6 +42,7 @@
   DispatchService Dispatch;
   BackendDirectory Backends;
   Instant ConfigurationAsked;
+  StallWatch Watch;
 };
 
 } // namespace sapphiremoor
--- a/src/cluster/dispatchservice.h
+++ b/src/cluster/dispatchservice.h
@@ -19,6 +19,8 @@
   struct Callbacks {
     /// A backend server was taken or given up.
     std::function<void(const OwnershipChanged &)> Ownership;
+    /// Looks whether this VM stood still, before an answer is acted on.
+    std::function<void()> CheckStall;
   };
 
   DispatchService(EventLoop &Loop, const ClusterSettings &Of, ClusterBus &Bus,
@@ -33,6 +35,8 @@
   void pending(const VmId &From, const PendingQuery &Message);
   void peerUp(const VmId &Peer);
   void peerDown(const VmId &Peer);
+  /// Gives up all jobs of all entry VMs.
+  void abandonAll();
   void peerLoad(const ClusterHeartbeat &Message);
 
   Dispatcher &dispatcher() { return Decisions; }
--- a/src/cluster/entrynode.h
+++ b/src/cluster/entrynode.h
@@ -4,6 +4,7 @@
 #include "cluster/clusterbus.h"
 #include "framework/core/random.h"
 #include "framework/metrics/registry.h"
+#include "framework/net/stallwatch.h"
 #include "routing/routingtable.h"
 
 #include <functional>
@@ -88,12 +89,16 @@
                const std::function<ClusterMessage(uint64_t)> &Message);
   void finishQuery(uint64_t Number);
   void tick();
+  void stalled();
 
   EventLoop &Loop;
   const ClusterSettings &Of;
   TableReader ReadTable;
   Registry Metrics;
   ClusterBus Bus;
+  StallWatch Watch;
+  /// Requests that arrived while this VM stood still are refused until then.
+  Instant RefuseUntil;
   std::optional<RoutingTable> Table;
   Ballot Configuration;
   Instant ConfigurationAsked;
--- a/src/cluster/internal/clusterbus.cpp
+++ b/src/cluster/internal/clusterbus.cpp
@@ -99,6 +99,8 @@
 }
 
 void ClusterBus::received(const VmId &From, std::string_view Payload) {
+  if (Calls.Stalled())
+    return;
   const Result<ClusterMessage> Decoded = decode<ClusterMessage>(Payload);
   if (isError(Decoded)) {
     logEvent(events::FrameRejected,
--- a/src/cluster/internal/controlnode.cpp
+++ b/src/cluster/internal/controlnode.cpp
@@ -1,11 +1,15 @@
 #include "cluster/controlnode.h"
 
 #include "framework/core/random.h"
+#include "framework/eventlog/eventlog.h"
 
 namespace sapphiremoor {
 
 namespace {
 constexpr Duration ConfigurationRetry = std::chrono::milliseconds(300);
+
+/// Standing still for longer, a VM may have been given up by others.
+constexpr Duration StallLimit = std::chrono::milliseconds(400);
 } // namespace
 
 ControlNode::ControlNode(EventLoop &Loop, const ClusterSettings &Of,
@@ -21,6 +25,7 @@
              Backends.peerUp(Peer);
            },
            [this](const VmId &Peer) { Dispatch.peerDown(Peer); },
+           [this] { return Watch.check(); },
            [this](ClusterHeartbeat &Told) {
              Told.Configuration = Configuration.chosenBallot();
              Told.Load = Dispatch.dispatcher().load(this->Loop.now());
@@ -28,9 +33,11 @@
       Configuration(Loop, Of, Bus),
       Dispatch(Loop, Of, Bus, std::move(Orders), Metrics,
                {[this](const OwnershipChanged &Change) {
-                 Backends.ownershipChanged(Change);
-               }}),
-      Backends(Loop, Bus, Dispatch) {}
+                  Backends.ownershipChanged(Change);
+                },
+                [this] { Watch.check(); }}),
+      Backends(Loop, Bus, Dispatch),
+      Watch(Loop, StallLimit, [this] { stalled(); }) {}
 
 Result<Done> ControlNode::start() {
   const Result<Done> Kept = Configuration.start(
@@ -45,6 +52,15 @@
   return Done{};
 }
 
+void ControlNode::stalled() {
+  logEvent(events::StoodStill,
+           {{"open_jobs", std::to_string(Dispatch.dispatcher().openJobs())}});
+  // Entry VMs have answered their callers, who may have sent the jobs
+  // elsewhere: nothing of them may be started any more.
+  Dispatch.abandonAll();
+  Bus.dropLinks();
+}
+
 void ControlNode::drain() {
   Bus.drain();
   Dispatch.drain();
--- a/src/cluster/internal/dispatchservice.cpp
+++ b/src/cluster/internal/dispatchservice.cpp
@@ -96,6 +96,12 @@
   Decisions.peerLoad(Peer.Name, std::nullopt);
 }
 
+void DispatchService::abandonAll() {
+  for (const auto &[Vm, Incarnation] : Incarnations)
+    Decisions.sourceLost(Vm, Loop.now());
+  run();
+}
+
 void DispatchService::peerLoad(const ClusterHeartbeat &Message) {
   if (Message.Self.Role != MemberRole::Control)
     return;
@@ -106,6 +112,7 @@
 }
 
 void DispatchService::tick() {
+  Calls.CheckStall();
   const Instant Now = Loop.now();
   std::erase_if(Lost, [&](const auto &Each) {
     if (Now - Each.second.Since < Limits.SourceGrace)
@@ -134,6 +141,7 @@
   Started.add();
   const Instant Sent = Loop.now();
   Orders.Start(Order, [this, Order, Sent](const StartAnswer &Answer) {
+    Calls.CheckStall();
     StartLatency.record(Loop.now() - Sent);
     Decisions.startAnswered(Order, Answer, Loop.now());
     run();
@@ -142,6 +150,7 @@
 
 void DispatchService::perform(const StopOrder &Order) {
   Orders.Stop(Order, [this, Order](StopAnswerKind Answer) {
+    Calls.CheckStall();
     Decisions.stopAnswered(Order, Answer, Loop.now());
     run();
   });
@@ -150,6 +159,7 @@
 void DispatchService::perform(const HoldOrder &Order) {
   const Instant Sent = Loop.now();
   Orders.Hold(Order, [this, Order, Sent](const HoldAnswer &Answer) {
+    Calls.CheckStall();
     if (const auto *List = std::get_if<RunList>(&Answer))
       Decisions.runsListed(Order, *List, Sent, Loop.now());
     else
--- a/src/cluster/internal/entrynode.cpp
+++ b/src/cluster/internal/entrynode.cpp
@@ -22,6 +22,12 @@
 /// Advice to callers while no dispatcher can be reached.
 constexpr int64_t NoDispatcherRetryMs = 1000;
 
+/// Standing still for longer, a VM may have been given up by others.
+constexpr Duration StallLimit = std::chrono::milliseconds(400);
+
+/// Time in which requests are read that came in while this VM stood still.
+constexpr Duration StaleRequests = std::chrono::milliseconds(100);
+
 constexpr Duration QueryLimit = std::chrono::milliseconds(700);
 constexpr Duration ConfigurationRetry = std::chrono::milliseconds(300);
 
@@ -54,9 +60,11 @@
            },
            [this](const VmId &Peer) { peerUp(Peer); },
            [this](const VmId &Peer) { peerDown(Peer); },
+           [this] { return Watch.check(); },
            [this](ClusterHeartbeat &Told) {
              Told.Configuration = Configuration;
            }}),
+      Watch(Loop, StallLimit, [this] { stalled(); }),
       TickTimer(Loop, [this] { tick(); }),
       Submitted(Metrics.counter("sapphiremoor_entry_jobs_total",
                                 "Jobs that callers submitted.")),
@@ -80,6 +88,7 @@
 
 void EntryNode::submit(const JobSubmission &Request, JobHandler Handler) {
   Submitted.add();
+  Watch.check();
   const Instant Now = Loop.now();
   const uint64_t Number = NextNumber++;
   OpenJob Added;
@@ -89,7 +98,7 @@
   Added.Deadline = Now + std::chrono::milliseconds(Request.DeadlineMs);
   OpenJob &Job = Open.emplace(Number, std::move(Added)).first->second;
   const auto To = chooseDispatcher(Request.Id);
-  if (Refusing || !To || !handOver(Number, Job, *To))
+  if (Refusing || Now < RefuseUntil || !To || !handOver(Number, Job, *To))
     finish(Number, {{Of.Name, Number},
                     Request.Id,
                     JobResult::NotRun,
@@ -301,6 +310,22 @@
     Query.OnCount(Sure ? std::optional(Query.Sum) : std::nullopt);
 }
 
+void EntryNode::stalled() {
+  logEvent(events::StoodStill, {{"open_jobs", std::to_string(Open.size())}});
+  RefuseUntil = Loop.now() + StaleRequests;
+  Bus.dropLinks();
+  // Callers may have sent their jobs elsewhere meanwhile.
+  while (!Open.empty()) {
+    const auto &[Number, Job] = *Open.begin();
+    finish(Number, {{Of.Name, Number},
+                    Job.Request.Id,
+                    JobResult::GivenUp,
+                    JobReason::Cancelled,
+                    0,
+                    {}});
+  }
+}
+
 void EntryNode::tick() {
   const Instant Now = Loop.now();
   struct Ending {
--- a/src/framework/eventlog/internal/eventlog.cpp
+++ b/src/framework/eventlog/internal/eventlog.cpp
@@ -33,19 +33,19 @@
     events::Stopped,          events::SettingsRejected,
     events::PeerUp,           events::PeerDown,
     events::FrameRejected,    events::DispatcherChanged,
-    events::TrustedNetwork,   events::BackendJoined,
-    events::BackendLeaving,   events::BackendExpired,
-    events::BackendEjected,   events::OwnershipChanged,
-    events::JobDecided,       events::JobRefused,
-    events::PrefixSealed,     events::RequestRejected,
-    events::JobDispatched,    events::RunDecided,
-    events::JobAnswered,      events::LinesDropped,
-    events::AdmissionRefused, events::LeaderElected,
-    events::ChangeAccepted,   events::ChangeInForce,
-    events::StorageFailed,    events::LogRecovered,
-    events::ChunkRejected,    events::VotersChanging,
-    events::ChangeRefused,    events::ReadinessChanged,
-    events::SettingsReloaded};
+    events::TrustedNetwork,   events::StoodStill,
+    events::BackendJoined,    events::BackendLeaving,
+    events::BackendExpired,   events::BackendEjected,
+    events::OwnershipChanged, events::JobDecided,
+    events::JobRefused,       events::PrefixSealed,
+    events::RequestRejected,  events::JobDispatched,
+    events::RunDecided,       events::JobAnswered,
+    events::LinesDropped,     events::AdmissionRefused,
+    events::LeaderElected,    events::ChangeAccepted,
+    events::ChangeInForce,    events::StorageFailed,
+    events::LogRecovered,     events::ChunkRejected,
+    events::VotersChanging,   events::ChangeRefused,
+    events::ReadinessChanged, events::SettingsReloaded};
 
 } // namespace
 
--- a/src/framework/net/internal/peermesh.cpp
+++ b/src/framework/net/internal/peermesh.cpp
@@ -192,6 +192,13 @@
   Calls.Up(Now);
 }
 
+void PeerMesh::closeAll() {
+  const Error Reason{ErrorKind::Timeout, "this VM stood still",
+                     "check the load and the state of this VM"};
+  while (!Links.empty())
+    closed(*Links.back(), Reason);
+}
+
 void PeerMesh::checkSilence() {
   const Instant Now = Loop.now();
   const Error Silent{ErrorKind::Timeout, "the peer has been silent",
--- a/src/framework/net/peermesh.h
+++ b/src/framework/net/peermesh.h
@@ -48,6 +48,9 @@
   /// Sends \p Payload once on every open link, also on parallel ones.
   void sendToAll(std::string_view Payload);
 
+  /// Closes all links; those that were dialled are dialled again.
+  void closeAll();
+
   bool reachable(const std::string &Name) const { return Up.contains(Name); }
   /// Bytes that wait to be written to \p Name.
   std::size_t pendingBytes(const std::string &Name) const;
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -52,6 +52,9 @@
   App.add_option("--folder", Options.Folder, "for settings, logs and data");
   App.add_option("--entries", Options.Entries, "entry VMs");
   App.add_option("--controls", Options.Controls, "control VMs");
+  App.add_option("--network", Options.Network,
+                 "second number of the loopback addresses")
+      ->check(CLI::Range(0, 255));
   App.add_option("--backends", Options.Backends, "backend servers");
   CLI11_PARSE(App, Count, Values);
   const bool Temporary = Options.Folder.empty();
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -46,9 +46,7 @@
     Added.Name = (Control ? "control-" : "entry-") + std::to_string(Number);
     Added.DataCentre = Centres[Number % Centres.size()];
     Added.Control = Control;
-    const std::string Address = "127.0." +
-                                std::string(Control ? "31." : "32.") +
-                                std::to_string(Number + 1);
+    const std::string Address = subnet(Control) + std::to_string(Number + 1);
     Added.Peer = {Address, PeerPort};
     Added.Http = {Address, HttpPort};
     Added.Link =
@@ -174,10 +172,14 @@
   });
 }
 
+std::string Soak::subnet(bool Control) const {
+  return "127." + std::to_string(Options.Network) + (Control ? ".31." : ".32.");
+}
+
 std::string Soak::configBody(uint64_t Version, int Variant) const {
   json Routes = json::array();
   Routes.push_back({{"name", "q"},
-                    {"host", "127.0.32.1"},
+                    {"host", subnet(false) + "1"},
                     {"path_prefix", "/q/"},
                     {"timeout_ms", 3000 + Variant},
                     {"service", "stamp"},
@@ -186,7 +188,7 @@
                     {"slo_ms", 800}});
   for (std::size_t Number = 1; Number < Options.Entries; ++Number) {
     Routes.push_back(Routes[0]);
-    Routes.back()["host"] = "127.0.32." + std::to_string(Number + 1);
+    Routes.back()["host"] = subnet(false) + std::to_string(Number + 1);
   }
   return json{{"version", Version},
               {"routes", Routes},
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -21,6 +21,8 @@
   std::size_t Entries = 3;
   std::size_t Controls = 3;
   std::size_t Backends = 9;
+  /// Second number of the loopback addresses, for soaks beside each other.
+  int Network = 0;
 };
 
 /// One VM under test: its process and the relay before its internal port.
@@ -71,6 +73,8 @@
                  int Attempt);
   void readConfig();
   Node &pick(bool Control);
+  /// First three numbers of the addresses of control or entry VMs.
+  std::string subnet(bool Control) const;
   std::string configBody(uint64_t Version, int Variant) const;
 
   EventLoop &Loop;
