--- a/src/cluster/entrynode.h
+++ b/src/cluster/entrynode.h
@@ -82,7 +82,8 @@
   void configurationTold(const VmId &From, const ClusterHeartbeat &Message);
   void adopt(const ChosenValue &Value);
   std::optional<std::string> chooseDispatcher(const std::string &Job) const;
-  bool handOver(uint64_t Number, OpenJob &Of, const std::string &To);
+  bool handOver(uint64_t Number, OpenJob &Of, const std::string &To,
+                bool Resumed = false);
   void finish(uint64_t Number, const JobAnswer &Answer);
   void logAnswer(const OpenJob &Of, const JobAnswer &Answer) const;
   uint64_t ask(OpenQuery Query,
--- a/src/cluster/internal/dispatchservice.cpp
+++ b/src/cluster/internal/dispatchservice.cpp
@@ -56,7 +56,8 @@
 void DispatchService::submit(const VmId &From, const SubmitJob &Message) {
   Submitted.add();
   const JobSource Source{From.Name, Message.Request};
-  if (Draining && Decisions.status(Message.Job.Id) == JobStatus::Unknown) {
+  if (Draining && !Message.Resumed &&
+      Decisions.status(Message.Job.Id) == JobStatus::Unknown) {
     perform(JobAnswer{Source,
                       Message.Job.Id,
                       JobResult::NotRun,
@@ -65,7 +66,10 @@
                       {}});
     return;
   }
-  Decisions.submit(Message.Job, Source, Message.Redirects, Loop.now());
+  if (Message.Resumed)
+    Decisions.resume(Message.Job.Id, Source);
+  else
+    Decisions.submit(Message.Job, Source, Message.Redirects, Loop.now());
   run();
 }
 
--- a/src/cluster/internal/entrynode.cpp
+++ b/src/cluster/internal/entrynode.cpp
@@ -129,11 +129,12 @@
   return Best;
 }
 
-bool EntryNode::handOver(uint64_t Number, OpenJob &Job, const std::string &To) {
+bool EntryNode::handOver(uint64_t Number, OpenJob &Job, const std::string &To,
+                         bool Resumed) {
   const auto Link = Linked.find(To);
   if (Link == Linked.end())
     return false;
-  SubmitJob Message{Number, Job.Redirects, Job.Request};
+  SubmitJob Message{Number, Job.Redirects, Resumed, Job.Request};
   Message.Job.DeadlineMs = millisecondsOf(Job.Deadline - Loop.now());
   if (Message.Job.DeadlineMs <= 0 || !Bus.send(To, Message))
     return false;
@@ -201,7 +202,7 @@
   Linked[Peer.Name] = Peer.Incarnation;
   for (auto &[Number, Job] : Open)
     if (Job.Target == Peer && Job.LostAt)
-      handOver(Number, Job, Peer.Name);
+      handOver(Number, Job, Peer.Name, true);
 }
 
 void EntryNode::peerDown(const VmId &Peer) {
--- a/src/cluster/types/clustermessage.h
+++ b/src/cluster/types/clustermessage.h
@@ -37,10 +37,12 @@
 struct SubmitJob {
   uint64_t Request = 0;
   uint8_t Redirects = 0;
+  /// The job was handed over before and the link broke meanwhile.
+  bool Resumed = false;
   JobSubmission Job;
 
   template <typename Archive> void serialize(Archive &Ar) {
-    Ar(Request, Redirects, Job);
+    Ar(Request, Redirects, Resumed, Job);
   }
 };
 
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -81,6 +81,9 @@
   /// Takes a job that was sent on \p Redirects times.
   void submit(const JobSubmission &Request, const JobSource &From,
               uint8_t Redirects, Instant Now);
+  /// Joins a job that was submitted before. One that is not known any more may
+  /// have run, so it is given up.
+  void resume(const std::string &Job, const JobSource &From);
   /// Ends a job for all its callers. Returns false if it is not known.
   bool cancel(const std::string &Job, Instant Now);
   /// The VM that holds callers' connections is out of reach: its requests are
@@ -132,7 +135,7 @@
   bool possible(const JobSubmission &Request) const;
   bool anyWaiting(const Job &Of) const;
   void learnUsual(const JobSubmission &Request);
-  bool answerKnown(const JobSubmission &Request, const JobSource &From);
+  bool answerKnown(const std::string &Job, const JobSource &From);
   void answer(const JobSource &To, const std::string &Name, JobResult Result,
               JobReason Reason, int64_t RetryAfterMs = 0,
               const std::string &Target = {});
--- a/src/dispatch/internal/dispatcherjobs.cpp
+++ b/src/dispatch/internal/dispatcherjobs.cpp
@@ -52,14 +52,13 @@
   });
 }
 
-bool Dispatcher::answerKnown(const JobSubmission &Request,
-                             const JobSource &From) {
-  const auto Ended = Outcomes.find(Request.Id);
+bool Dispatcher::answerKnown(const std::string &Name, const JobSource &From) {
+  const auto Ended = Outcomes.find(Name);
   if (Ended != Outcomes.end()) {
-    answer(From, Request.Id, Ended->second.Result, Ended->second.Reason);
+    answer(From, Name, Ended->second.Result, Ended->second.Reason);
     return true;
   }
-  const auto Open = Jobs.find(Request.Id);
+  const auto Open = Jobs.find(Name);
   if (Open == Jobs.end())
     return false;
   Open->second.Sources.push_back(From);
@@ -83,7 +82,7 @@
 
 void Dispatcher::submit(const JobSubmission &Request, const JobSource &From,
                         uint8_t Redirects, Instant Now) {
-  if (answerKnown(Request, From))
+  if (answerKnown(Request.Id, From))
     return;
   if (!detail::wellFormed(Request.Steps)) {
     answer(From, Request.Id, JobResult::NotRun, JobReason::Impossible);
@@ -129,6 +128,11 @@
   schedule(Now);
 }
 
+void Dispatcher::resume(const std::string &Name, const JobSource &From) {
+  if (!answerKnown(Name, From))
+    answer(From, Name, JobResult::GivenUp, JobReason::Cancelled);
+}
+
 bool Dispatcher::cancel(const std::string &Name, Instant Now) {
   const auto Found = Jobs.find(Name);
   if (Found == Jobs.end())
--- a/src/dispatch/internal/dispatcherplacement.cpp
+++ b/src/dispatch/internal/dispatcherplacement.cpp
@@ -212,10 +212,20 @@
 Dispatcher::Backend *Dispatcher::choose(const Job &Of, std::size_t Step,
                                         const TaskState &Task, Instant Now) {
   const StepRequest &Shape = Of.Request.Steps[Step];
+  // A task that failed before is not tried where runs fail, as long as there is
+  // another place: its attempts are few.
+  const bool Alternatives =
+      std::ranges::any_of(Backends, [&](const auto &Other) {
+        return usable(Other.second, Now) &&
+               Other.second.Health.FailuresInRow == 0 &&
+               Other.second.Report.Service == Of.Request.Policy.Service &&
+               fits(Shape.Need, Other.second.Report.Capacity);
+      });
   Backend *Best = nullptr;
   std::tuple<bool, bool, bool, double, int64_t> BestRank;
   for (auto &[Id, Each] : Backends) {
-    if (!eligible(Each, Of, Step, Now))
+    if (!eligible(Each, Of, Step, Now) ||
+        (Task.Failures > 0 && Alternatives && Each.Health.FailuresInRow > 0))
       continue;
     const bool FarFromData =
         !Shape.DataRack.empty() && !hasLabel(Each.Report, Shape.DataRack);
--- a/src/dispatch/tests/dispatcher_test.cpp
+++ b/src/dispatch/tests/dispatcher_test.cpp
@@ -213,6 +213,35 @@
   CHECK_FALSE(World.dispatcher("d1").involved("b0"));
 }
 
+// Guards against "not run" for a job that had started before a broken link.
+TEST_CASE("a job that is resumed and not known is given up, not started") {
+  FakeBackends World(17);
+  prepare(World, 1);
+  World.submit("d1", simpleJob("j1", 1, 500));
+  World.run(milliseconds(50));
+  World.dispatcher("d1").sourceLost("entry", World.Now);
+  World.run(milliseconds(100));
+  World.dispatcher("d1").resume("j1", {"entry", 9});
+  World.run(milliseconds(100));
+  CHECK(resultOf(World, "j1") == JobResult::GivenUp);
+  CHECK(World.starts("b0") == 1);
+}
+
+// Guards against a task that uses up its attempts on one bad backend server.
+TEST_CASE("a failed task waits for a sound backend server") {
+  FakeBackends World(18);
+  prepare(World, 2);
+  World.FailShare["b0"] = 1;
+  World.Slowness["b1"] = 1.5;
+  JobSubmission Busy = simpleJob("busy", 4, 300);
+  World.submit("d1", Busy);
+  JobSubmission Job = simpleJob("j1", 1, 50);
+  Job.Policy.Attempts = 2;
+  World.submit("d1", Job);
+  World.run(seconds(3));
+  CHECK(resultOf(World, "j1") == JobResult::Done);
+}
+
 // Guards against callers that hang after their VM has been lost.
 TEST_CASE("jobs of a lost entry VM are stopped") {
   FakeBackends World(11);
