--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -49,6 +49,7 @@
   SoakOptions Options;
   App.add_option("--seed", Options.Seed, "seed of traffic and faults");
   App.add_option("--seconds", Options.Seconds, "time with faults");
+  App.add_option("--program", Options.Program, "the daemon to run");
   App.add_option("--folder", Options.Folder, "for settings, logs and data");
   App.add_option("--entries", Options.Entries, "entry VMs");
   App.add_option("--controls", Options.Controls, "control VMs");
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -96,7 +96,7 @@
 void Soak::launch(Node &Of, bool FirstStart) {
   writeSettings(Of, FirstStart);
   Of.Daemon = std::make_unique<endtoend::Process>(
-      std::vector<std::string>{DAEMON_PROGRAM, "node", "--settings",
+      std::vector<std::string>{Options.Program, "node", "--settings",
                                Options.Folder + "/" + Of.Name + ".json"},
       Options.Folder + "/" + Of.Name + ".log");
   Of.Paused = false;
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -18,6 +18,7 @@
   uint64_t Seed = 1;
   int Seconds = 12;
   std::string Folder;
+  std::string Program = DAEMON_PROGRAM;
   std::size_t Entries = 3;
   std::size_t Controls = 3;
   std::size_t Backends = 9;
