--- a/src/dispatch/tests/fakebackends.cpp
+++ b/src/dispatch/tests/fakebackends.cpp
@@ -239,8 +239,7 @@
       Name, Order.To,
       [this, Order, Sent](Server &At, const std::function<void(Told)> &Reply) {
         const bool Obeyed = hold(At, Order);
-        const auto Tell = [this, Order, Sent, Reply,
-                           Obeyed](const HoldAnswer &Answer) {
+        const auto Tell = [this, Order, Sent, Reply](const HoldAnswer &Answer) {
           Reply([this, Order, Sent, Answer](Dispatcher &To) {
             if (const auto *List = std::get_if<RunList>(&Answer))
               To.runsListed(Order, *List, Sent, Now);
--- a/tests/soak/faults.cpp
+++ b/tests/soak/faults.cpp
@@ -58,7 +58,7 @@
   const std::vector<std::string> Modes{
       "cut",          "hold",         "freeze",  "swallow up",
       "swallow down", "swallow both", "delay 80"};
-  const std::string Mode = Modes[In.rng()() % Modes.size()];
+  const std::string &Mode = Modes[In.rng()() % Modes.size()];
   const Duration Time = randomTime(In, 500, 3500);
   note(In, Mode, Of.Name);
   // The links of a VM end at others too.
