--- a/src/framework/net/internal/peermesh.cpp
+++ b/src/framework/net/internal/peermesh.cpp
@@ -16,7 +16,6 @@
 
 namespace {
 constexpr Duration SilenceCheckPeriod = std::chrono::milliseconds(100);
-constexpr int ListenBacklog = 128;
 } // namespace
 
 /// An address that is dialled again after each loss of its link.
@@ -40,23 +39,13 @@
 }
 
 Result<uint16_t> PeerMesh::listen(const Endpoint &At) {
-  const Result<sockaddr_in> Address = detail::socketAddress(At);
-  if (isError(Address))
-    return errorOf(Address);
-  Listener = evconnlistener_new_bind(
-      Loop.base(), onAccept, this,
-      LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC,
-      ListenBacklog, reinterpret_cast<const sockaddr *>(&valueOf(Address)),
-      sizeof(sockaddr_in));
-  if (Listener == nullptr)
-    return Error{ErrorKind::Unreachable, "cannot listen on " + describe(At),
-                 "choose a free port on an address of this VM"};
-  sockaddr_in Bound{};
-  socklen_t Size = sizeof(Bound);
-  getsockname(evconnlistener_get_fd(Listener),
-              reinterpret_cast<sockaddr *>(&Bound), &Size);
-  Own = {At.Address, ntohs(Bound.sin_port)};
-  return Own.Port;
+  const auto Opened = detail::listenOn(Loop.base(), At, onAccept, this);
+  if (isError(Opened))
+    return errorOf(Opened);
+  const detail::BoundListener &Bound = valueOf(Opened);
+  Listener = Bound.Listener;
+  Own = {At.Address, Bound.Port};
+  return Bound.Port;
 }
 
 void PeerMesh::dial(const Endpoint &At) {
--- a/src/framework/net/internal/peernetwork.cpp
+++ b/src/framework/net/internal/peernetwork.cpp
@@ -16,7 +16,6 @@
 
 namespace {
 constexpr Duration SilenceCheckPeriod = std::chrono::milliseconds(250);
-constexpr int ListenBacklog = 128;
 } // namespace
 
 struct PeerNetwork::Peer {
@@ -43,22 +42,12 @@
 }
 
 Result<uint16_t> PeerNetwork::listen(const Endpoint &At) {
-  const Result<sockaddr_in> Address = detail::socketAddress(At);
-  if (isError(Address))
-    return errorOf(Address);
-  Listener = evconnlistener_new_bind(
-      Loop.base(), onAccept, this,
-      LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC,
-      ListenBacklog, reinterpret_cast<const sockaddr *>(&valueOf(Address)),
-      sizeof(sockaddr_in));
-  if (Listener == nullptr)
-    return Error{ErrorKind::Unreachable, "cannot listen on " + describe(At),
-                 "choose a free port on an address of this VM"};
-  sockaddr_in Bound{};
-  socklen_t Size = sizeof(Bound);
-  getsockname(evconnlistener_get_fd(Listener),
-              reinterpret_cast<sockaddr *>(&Bound), &Size);
-  return ntohs(Bound.sin_port);
+  const auto Opened = detail::listenOn(Loop.base(), At, onAccept, this);
+  if (isError(Opened))
+    return errorOf(Opened);
+  const detail::BoundListener &Bound = valueOf(Opened);
+  Listener = Bound.Listener;
+  return Bound.Port;
 }
 
 void PeerNetwork::addPeer(const std::string &Name, const Endpoint &At) {
--- a/src/framework/net/internal/sockets.cpp
+++ b/src/framework/net/internal/sockets.cpp
@@ -6,6 +6,10 @@
 
 namespace sapphiremoor::detail {
 
+namespace {
+constexpr int ListenBacklog = 128;
+} // namespace
+
 Result<sockaddr_in> socketAddress(const Endpoint &At) {
   sockaddr_in Address{};
   Address.sin_family = AF_INET;
@@ -26,4 +30,26 @@
   setsockopt(Fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &Limit, sizeof(Limit));
 }
 
+Result<BoundListener> listenOn(event_base *Base, const Endpoint &At,
+                               evconnlistener_cb OnAccept, void *Argument) {
+  const Result<sockaddr_in> Address = socketAddress(At);
+  if (isError(Address))
+    return errorOf(Address);
+  BoundListener Opened;
+  Opened.Listener = evconnlistener_new_bind(
+      Base, OnAccept, Argument,
+      LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC,
+      ListenBacklog, reinterpret_cast<const sockaddr *>(&valueOf(Address)),
+      sizeof(sockaddr_in));
+  if (Opened.Listener == nullptr)
+    return Error{ErrorKind::Unreachable, "cannot listen on " + describe(At),
+                 "choose a free port on an address of this VM"};
+  sockaddr_in Bound{};
+  socklen_t Size = sizeof(Bound);
+  getsockname(evconnlistener_get_fd(Opened.Listener),
+              reinterpret_cast<sockaddr *>(&Bound), &Size);
+  Opened.Port = ntohs(Bound.sin_port);
+  return Opened;
+}
+
 } // namespace sapphiremoor::detail
--- a/src/framework/net/internal/sockets.h
+++ b/src/framework/net/internal/sockets.h
@@ -5,8 +5,12 @@
 #include "framework/core/time.h"
 #include "framework/core/types/endpoint.h"
 
+#include <event2/listener.h>
+
 #include <netinet/in.h>
 
+struct event_base;
+
 namespace sapphiremoor::detail {
 
 /// Converts a numeric IPv4 address and port for the socket calls.
@@ -17,6 +21,16 @@
 /// is closed after \p SilentLimit.
 void configureLinkSocket(int Fd, Duration SilentLimit);
 
+/// A listener, which the receiver owns, and the port that it is bound to.
+struct BoundListener {
+  evconnlistener *Listener = nullptr;
+  uint16_t Port = 0;
+};
+
+/// Listens for links at \p At; port 0 takes a free port.
+Result<BoundListener> listenOn(event_base *Base, const Endpoint &At,
+                               evconnlistener_cb OnAccept, void *Argument);
+
 } // namespace sapphiremoor::detail
 
 #endif // SAPPHIREMOOR_FRAMEWORK_NET_INTERNAL_SOCKETS_H
