Do not read from connections that are being closed; settle the soak's stand-ins first

Ruled out: closing at once (the response may not be written yet). Change: reading is disabled with the last response, and closed connections are swept every 20 ms in a stop.

--- a/src/framework/net/internal/httpserver.cpp
+++ b/src/framework/net/internal/httpserver.cpp
@@ -19,6 +19,7 @@
 namespace {
 
 constexpr Duration SweepPeriod = std::chrono::milliseconds(500);
+constexpr Duration ClosingSweepPeriod = std::chrono::milliseconds(20);
 
 HttpMethod methodOf(evhttp_request *Request) {
   switch (evhttp_request_get_command(Request)) {
@@ -141,6 +142,10 @@
     evbuffer *Output = evhttp_request_get_output_buffer(Answered);
     evbuffer_add(Output, Response.Body.data(), Response.Body.size());
     evhttp_send_reply(Answered, Response.Status, nullptr, nullptr);
+    // A request that comes after the last response must not be read: nobody
+    // would answer it. evhttp has enabled reading to notice the end of file.
+    if (Server->ClosingConnections)
+      bufferevent_disable(Connection, EV_READ);
   }
 
   static void onClose(evhttp_connection *, void *Self) {
@@ -244,7 +249,11 @@
 
 std::size_t HttpServer::openRequests() const { return Common->OpenRequests; }
 
-void HttpServer::closeAfterResponses() { Common->ClosingConnections = true; }
+void HttpServer::closeAfterResponses() {
+  Common->ClosingConnections = true;
+  // The guards keep closed connections open until the next sweep.
+  Sweep.startPeriodic(ClosingSweepPeriod);
+}
 
 void HttpServer::closeIdleConnections() {
   for (const auto &[Connection, Watched] : Guards) {
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -69,6 +69,11 @@
     Backends.push_back(std::make_unique<StandinControlled>(
         Loop, Client, Checked, "b" + std::to_string(Number), ControlHttp,
         Centres[Number % Centres.size()], Rng()));
+  for (const auto &Each : Backends)
+    Each->SettleAll = [this] {
+      for (const auto &Other : Backends)
+        Other->settle();
+    };
 }
 
 void Soak::writeSettings(const Node &Of, bool FirstStart) const {
--- a/tests/soak/standincontrolled.cpp
+++ b/tests/soak/standincontrolled.cpp
@@ -109,6 +109,7 @@
 
 void StandinControlled::obey(const std::string &Path, const json &Order,
                              const Responder &Answer, bool Answering) {
+  SettleAll();
   const uint64_t Given = Order.value("fencing_token", uint64_t{0});
   if (Given < Token) {
     reject(Answer, "fence", Answering);
@@ -218,9 +219,7 @@
   Checked.ended(Id, Task, std::string(How) == "done");
 }
 
-void StandinControlled::tick() {
-  if (Down)
-    return;
+void StandinControlled::settle() {
   const Instant Now = Loop.now();
   const bool Expired = clock() > LeaseEndMs;
   std::vector<std::pair<std::string, const char *>> Ends;
@@ -236,6 +235,13 @@
   }
   for (const auto &[Task, How] : Ends)
     end(Task, How);
+}
+
+void StandinControlled::tick() {
+  if (Down)
+    return;
+  settle();
+  const Instant Now = Loop.now();
   const auto Due = std::ranges::partition(Holds, [&](const Waiting &Each) {
     return Ended.empty() && Now < Each.Until;
   });
--- a/tests/soak/standincontrolled.h
+++ b/tests/soak/standincontrolled.h
@@ -39,6 +39,11 @@
   /// Ends all runs; after \p Down it is back in a new life under the same id.
   void crash(Duration Down);
   void disturb(const Disturbance &How) { Disturbed = How; }
+  /// Ends the runs whose time or lease is over.
+  void settle();
+  /// Settles all stand-ins; called before an order is carried out, since this
+  /// process may have stood still for longer than a lease.
+  std::function<void()> SettleAll = [] {};
 
 private:
   struct Run {
