--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -6,6 +6,8 @@
 
 #include <CLI/CLI.hpp>
 
+#include <unistd.h>
+
 #include <filesystem>
 #include <iostream>
 
@@ -47,6 +49,9 @@
 int main(int Count, char **Values) {
   CLI::App App{"Fault soak of sapphiremoor on loopback addresses"};
   SoakOptions Options;
+  // Soaks beside each other, by hand and in CI, must not share addresses.
+  constexpr int Networks = 200;
+  Options.Network = 20 + static_cast<int>(getpid()) % Networks;
   App.add_option("--seed", Options.Seed, "seed of traffic and faults");
   App.add_option("--seconds", Options.Seconds, "time with faults");
   App.add_option("--program", Options.Program, "the daemon to run");
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -23,7 +23,7 @@
   std::size_t Controls = 3;
   std::size_t Backends = 9;
   /// Second number of the loopback addresses, for soaks beside each other.
-  int Network = 0;
+  int Network = 20;
 };
 
 /// One VM under test: its process and the relay before its internal port.
