--- a/src/cluster/internal/controlnode.cpp
+++ b/src/cluster/internal/controlnode.cpp
@@ -40,11 +40,11 @@
       Watch(Loop, StallLimit, [this] { stalled(); }) {}
 
 Result<Done> ControlNode::start() {
-  const Result<Done> Kept = Configuration.start(
+  Result<Done> Kept = Configuration.start(
       [this](const RegisterValue &Value) { chosen(Value); });
   if (isError(Kept))
     return Kept;
-  const Result<Done> Linked = Bus.start();
+  Result<Done> Linked = Bus.start();
   if (isError(Linked))
     return Linked;
   Dispatch.start();
--- a/src/cluster/internal/entrynode.cpp
+++ b/src/cluster/internal/entrynode.cpp
@@ -72,7 +72,7 @@
                                 "Time from a job's arrival to its answer.")) {}
 
 Result<Done> EntryNode::start() {
-  const Result<Done> Started = Bus.start();
+  Result<Done> Started = Bus.start();
   if (isError(Started))
     return Started;
   TickTimer.startPeriodic(TickPeriod);
--- a/src/dispatch/tests/fakebackends.cpp
+++ b/src/dispatch/tests/fakebackends.cpp
@@ -170,8 +170,8 @@
 
 void FakeBackends::carry(
     const std::string &Name, const ControlTarget &To,
-    std::function<void(Server &, std::function<void(Told)>)> Execute,
-    Told NoAnswer, Duration Timeout) {
+    const std::function<void(Server &, std::function<void(Told)>)> &Execute,
+    const Told &NoAnswer, Duration Timeout) {
   Server &Of = Servers.at(To.Backend);
   const auto Answered = std::make_shared<bool>(false);
   const auto Deliver = [this, Name, Answered](const Told &What) {
--- a/src/dispatch/tests/fakebackends.h
+++ b/src/dispatch/tests/fakebackends.h
@@ -99,9 +99,10 @@
   void perform(const std::string &Name, const StopOrder &Order);
   void perform(const std::string &Name, const HoldOrder &Order);
   /// Carries one order to its backend server with the usual losses.
-  void carry(const std::string &Name, const ControlTarget &To,
-             std::function<void(Server &, std::function<void(Told)>)> Execute,
-             Told NoAnswer, Duration Timeout);
+  void
+  carry(const std::string &Name, const ControlTarget &To,
+        const std::function<void(Server &, std::function<void(Told)>)> &Execute,
+        const Told &NoAnswer, Duration Timeout);
   StartAnswer start(Server &At, const StartOrder &Order);
   StopAnswerKind stop(Server &At, const StopOrder &Order);
   /// Hands an answer over, once the dispatcher is not frozen.
