Hold a task back while a lost start order may still come to life

Cause: a start order without an answer can be carried out 2 to 12 s later in the next life of a backend server, if it arrives there before the new fencing token. The dispatcher started the task elsewhere as soon as the lease had ended, or 3 s after a silent new life.

Ruled out: naming the life in the order (the contract has no field for it); holding every task of a lost backend server back (only those whose start had no answer can come back).

Change: such a start is remembered until the backend server has been taken again or 13.5 s have passed. The task waits, unless its deadline is over before the order can take effect; a repeated request for its job is given up at once.

--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -89,6 +89,9 @@
   /// The VM that holds callers' connections is out of reach: its requests are
   /// given up.
   void sourceLost(const std::string &Vm, Instant Now);
+  /// Returns the backend server where a run of the task is or may be, or
+  /// nothing.
+  std::string placeOf(const TaskId &Task) const;
   JobStatus status(const std::string &Job) const;
   /// Jobs of \p Service that have not started.
   std::size_t pending(const std::string &Service) const;
@@ -130,6 +133,13 @@
     Instant Ended;
   };
 
+  /// A start order without an answer whose backend server was given up before
+  /// anything showed what became of it.
+  struct UnresolvedStart {
+    std::string Backend;
+    Instant Ordered;
+  };
+
   // Jobs.
   static QueueKey keyOf(const Job &Of);
   bool possible(const JobSubmission &Request) const;
@@ -185,8 +195,15 @@
   /// Frees the room of a run and returns it.
   Run takeRun(Backend &On, const TaskId &Task);
   void runEnded(Backend &On, const EndedRun &Ended, Instant Now);
-  void runGone(Backend &On, const TaskId &Task, Instant Now);
-  void allRunsGone(Backend &On, Instant Now);
+  /// Whether orders that have no answer yet can still take effect.
+  enum class LateOrders { Possible, Excluded };
+  void runGone(Backend &On, const TaskId &Task, LateOrders Late);
+  void allRunsGone(Backend &On, LateOrders Late);
+  /// Returns true if another run of the task could overlap with one that a late
+  /// order brings to life.
+  bool mayStartLate(const TaskId &Task, Instant Deadline, Instant Now) const;
+  /// Returns true if a job of this name may still have a run of before.
+  bool mayStartLate(const std::string &Job, Instant Now) const;
   void checkListed(Backend &On, const RunList &List, Instant Sent, Instant Now);
   void checkProgress(Backend &On, const ActiveRun &Seen, Instant Now);
   /// Returns true if a run of this age and progress will miss the deadline.
@@ -194,7 +211,7 @@
                 Instant Now) const;
   void stopStrangers(Backend &On, const RunList &List, Instant Now);
   void probeAnswered(Backend &Of, Instant Now);
-  void becomeOwned(Backend &Of, Instant Now);
+  void becomeOwned(Backend &Of);
   void fenced(Backend &Of, Instant Now);
   void newLife(Backend &Of, Instant Now);
   void takeAgain(Backend &Of, Instant Now);
@@ -220,6 +237,7 @@
   std::map<std::string, Outcome> Outcomes;
   /// Where each run is that may be active.
   std::map<TaskId, std::string> LiveRuns;
+  std::map<TaskId, UnresolvedStart> UnresolvedStarts;
   std::map<std::string, DispatchLoad> Peers;
   /// By the first label of backend servers, which names the kind of machine.
   std::map<std::string, double> KindPaces;
--- a/src/dispatch/internal/dispatcherjobs.cpp
+++ b/src/dispatch/internal/dispatcherjobs.cpp
@@ -88,6 +88,10 @@
     answer(From, Request.Id, JobResult::NotRun, JobReason::Impossible);
     return;
   }
+  if (mayStartLate(Request.Id, Now)) {
+    answer(From, Request.Id, JobResult::GivenUp, JobReason::Cancelled);
+    return;
+  }
   const bool ServiceKnown =
       std::ranges::any_of(Backends, [&Request](const auto &Each) {
         return Each.second.Report.Service == Request.Policy.Service;
@@ -168,6 +172,11 @@
                                                  : JobStatus::Failed;
 }
 
+std::string Dispatcher::placeOf(const TaskId &Task) const {
+  const auto Found = LiveRuns.find(Task);
+  return Found == LiveRuns.end() ? std::string() : Found->second;
+}
+
 std::size_t Dispatcher::pending(const std::string &Service) const {
   return static_cast<std::size_t>(
       std::ranges::count_if(Jobs, [&Service](const auto &Each) {
@@ -315,6 +324,9 @@
   std::erase_if(Outcomes, [&](const auto &Each) {
     return Now - Each.second.Ended > Limits.OutcomeKept;
   });
+  std::erase_if(UnresolvedStarts, [&](const auto &Each) {
+    return Now - Each.second.Ordered > Limits.LatestLate;
+  });
 }
 
 void Dispatcher::tick(Instant Now) {
--- a/src/dispatch/internal/dispatcherownership.cpp
+++ b/src/dispatch/internal/dispatcherownership.cpp
@@ -65,7 +65,7 @@
     Of.Report.Draining = true;
     return;
   }
-  allRunsGone(Of, Now);
+  allRunsGone(Of, LateOrders::Possible);
   Backends.erase(Found);
   schedule(Now);
 }
@@ -142,10 +142,13 @@
          Found->second.Mode != OwnerMode::Probing;
 }
 
-void Dispatcher::becomeOwned(Backend &Of, Instant Now) {
+void Dispatcher::becomeOwned(Backend &Of) {
   // Orders of the former token are refused from here on, so runs that were not
   // resolved will never come to be.
-  allRunsGone(Of, Now);
+  allRunsGone(Of, LateOrders::Excluded);
+  std::erase_if(UnresolvedStarts, [&Of](const auto &Each) {
+    return Each.second.Backend == Of.Report.Id;
+  });
   Of.Mode = OwnerMode::Owned;
   Effects.emplace_back(OwnershipChanged{Of.Report.Id, true, "acquired"});
 }
@@ -179,10 +182,10 @@
   // is kept until a higher token rules that out.
   std::vector<TaskId> Ended;
   for (const auto &[Task, Each] : Of.Runs)
-    if (Each.Phase != RunPhase::Starting)
+    if (Each.Phase != RunPhase::Starting && !Each.MaybeSent)
       Ended.push_back(Task);
   for (const TaskId &Task : Ended)
-    runGone(Of, Task, Now);
+    runGone(Of, Task, LateOrders::Excluded);
   Of.Clock = {};
   Of.Health = {};
   Of.Slowness = 1;
@@ -217,19 +220,19 @@
   case OwnerMode::Lost:
     if (!Of.Clock.expired(Now))
       return;
-    allRunsGone(Of, Now);
+    allRunsGone(Of, LateOrders::Possible);
     Of.Mode = OwnerMode::Foreign;
     return;
   case OwnerMode::Acquiring:
     if (!Of.Suspect || Now - Of.AcquireSince <
                            (Of.Runs.empty() ? AcquireLimit : UnresolvedLimit))
       break;
-    allRunsGone(Of, Now);
+    allRunsGone(Of, LateOrders::Possible);
     giveUpBackend(Of, "unreachable");
     return;
   case OwnerMode::Owned:
     if (Of.Suspect && !Of.Runs.empty() && Of.Clock.expired(Now)) {
-      allRunsGone(Of, Now);
+      allRunsGone(Of, LateOrders::Possible);
       takeAgain(Of, Now);
       return;
     }
--- a/src/dispatch/internal/dispatcherplacement.cpp
+++ b/src/dispatch/internal/dispatcherplacement.cpp
@@ -178,7 +178,7 @@
         continue;
       const TaskId Id{Of.Request.Id, static_cast<uint32_t>(Step),
                       static_cast<uint32_t>(Index)};
-      if (LiveRuns.contains(Id))
+      if (LiveRuns.contains(Id) || mayStartLate(Id, Of.Deadline, Now))
         continue;
       Backend *On = choose(Of, Step, Task, Now);
       if (On == nullptr) {
--- a/src/dispatch/internal/dispatcherruns.cpp
+++ b/src/dispatch/internal/dispatcherruns.cpp
@@ -228,7 +228,7 @@
   checkListed(*On, List, Sent, Now);
   stopStrangers(*On, List, Now);
   if (On->Mode == OwnerMode::Acquiring && List.Active.empty())
-    becomeOwned(*On, Now);
+    becomeOwned(*On);
   if (On->Releasing && On->Runs.empty()) {
     giveUpBackend(*On, "released");
     return;
@@ -291,16 +291,36 @@
     requeue(Ended.Task, On.Report.Id);
 }
 
-void Dispatcher::runGone(Backend &On, const TaskId &Task, Instant) {
+void Dispatcher::runGone(Backend &On, const TaskId &Task, LateOrders Late) {
   const Run Of = takeRun(On, Task);
   log(On, Task, Of.Number, "gone");
+  if (Late == LateOrders::Possible && Of.MaybeSent)
+    UnresolvedStarts[Task] = {On.Report.Id, Of.Ordered};
   if (!Of.Abandoned)
     requeue(Task, On.Report.Id);
 }
 
-void Dispatcher::allRunsGone(Backend &On, Instant Now) {
+void Dispatcher::allRunsGone(Backend &On, LateOrders Late) {
   while (!On.Runs.empty())
-    runGone(On, TaskId(On.Runs.begin()->first), Now);
+    runGone(On, TaskId(On.Runs.begin()->first), Late);
+}
+
+bool Dispatcher::mayStartLate(const TaskId &Task, Instant Deadline,
+                              Instant Now) const {
+  const auto Found = UnresolvedStarts.find(Task);
+  if (Found == UnresolvedStarts.end())
+    return false;
+  const Instant Ordered = Found->second.Ordered;
+  return Now < Ordered + Limits.LatestLate &&
+         Deadline > Ordered + Limits.EarliestLate;
+}
+
+bool Dispatcher::mayStartLate(const std::string &Job, Instant Now) const {
+  const auto First = UnresolvedStarts.lower_bound({Job, 0, 0});
+  return std::any_of(First, UnresolvedStarts.end(), [&](const auto &Each) {
+    return Each.first.Job == Job &&
+           Now < Each.second.Ordered + Limits.LatestLate;
+  });
 }
 
 void Dispatcher::checkListed(Backend &On, const RunList &List, Instant Sent,
@@ -327,7 +347,7 @@
       Gone.push_back(Task);
   }
   for (const TaskId &Task : Gone)
-    runGone(On, Task, Now);
+    runGone(On, Task, LateOrders::Excluded);
 }
 
 bool Dispatcher::hopeless(const Job &Of, Duration Age, int64_t Percent,
--- a/src/dispatch/tests/dispatcher_test.cpp
+++ b/src/dispatch/tests/dispatcher_test.cpp
@@ -310,6 +310,51 @@
   CHECK(Moved.front().Target == "d2");
 }
 
+// Guards against two runs of a task when a start order without an answer is
+// carried out in the next life of a backend server that cannot be fenced.
+TEST_CASE("a task waits while a lost start may still come to life") {
+  for (uint64_t Seed = 1; Seed <= 60; ++Seed) {
+    CAPTURE(Seed);
+    FakeBackends World(Seed);
+    prepare(World, 2);
+    World.LateShare = 1;
+    JobSubmission Job = simpleJob("j1", 1, 2000);
+    Job.DeadlineMs = 20000;
+    Job.Policy.SlackMs = 20000;
+    World.submit("d1", Job);
+    World.LateShare = 0;
+    const std::string First = World.dispatcher("d1").placeOf({"j1", 0, 0});
+    World.CutOff.insert(First);
+    World.crash(First, milliseconds(300));
+    World.run(seconds(19));
+    for (const std::string &Each : World.Violations)
+      FAIL_CHECK(Each);
+    CHECK(resultOf(World, "j1") == JobResult::Done);
+  }
+}
+
+// Guards against a repeated request that starts a task beside a run of the
+// first one.
+TEST_CASE("a repeated job is given up while a lost start may come to life") {
+  FakeBackends World(3);
+  prepare(World, 2);
+  World.LateShare = 1;
+  JobSubmission Job = simpleJob("j1", 1, 400);
+  Job.DeadlineMs = 1500;
+  World.submit("d1", Job);
+  World.LateShare = 0;
+  const std::string First = World.dispatcher("d1").placeOf({"j1", 0, 0});
+  World.CutOff.insert(First);
+  World.crash(First, milliseconds(300));
+  World.dispatcher("d1").sourceLost("entry", World.Now);
+  World.run(milliseconds(4500));
+  World.submit("d1", Job);
+  World.run(milliseconds(10));
+  CHECK(resultOf(World, "j1") == JobResult::GivenUp);
+  World.run(seconds(12));
+  CHECK(World.Violations.empty());
+}
+
 // Guards against two runs of one task and against overfilled backend servers
 // under lost and late orders, crashes and changes of ownership.
 TEST_CASE("random faults never break capacity or run a task twice at a time") {
--- a/src/dispatch/tests/fakebackends.cpp
+++ b/src/dispatch/tests/fakebackends.cpp
@@ -180,7 +180,7 @@
   };
   std::uniform_real_distribution<double> Share(0, 1);
   const bool Late = Share(Rng) < LateShare;
-  const bool Lost = Share(Rng) < LossShare;
+  const bool Lost = Share(Rng) < LossShare || CutOff.contains(To.Backend);
   const bool AnswerLost = Late || Share(Rng) < LossShare;
   const Duration Way =
       Late ? std::chrono::milliseconds(2000 + Rng() % 10000) : delay();
--- a/src/dispatch/tests/fakebackends.h
+++ b/src/dispatch/tests/fakebackends.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -58,6 +59,8 @@
   /// All runs there fail, stand still, or take so many times their work.
   std::map<std::string, double> FailShare;
   std::map<std::string, double> Slowness;
+  /// Orders that are sent there from now on are lost; earlier ones may arrive.
+  std::set<std::string> CutOff;
   std::vector<std::string> Violations;
   Instant Now = instantAt(std::chrono::seconds(100));
 
--- a/src/dispatch/types/dispatchlimits.h
+++ b/src/dispatch/types/dispatchlimits.h
@@ -24,6 +24,11 @@
   Duration TakeoverPoll = std::chrono::milliseconds(60);
   /// Sends of one start order before its run is stopped instead.
   int StartSends = 2;
+  /// An order without an answer may be carried out this long after it was sent,
+  /// also in the next life of a backend server. Source: the contract of the
+  /// backend servers, with a margin on both ends.
+  Duration EarliestLate = std::chrono::milliseconds(1900);
+  Duration LatestLate = std::chrono::milliseconds(13500);
   /// Pause before a stop order is sent again.
   Duration StopRetry = std::chrono::milliseconds(150);
   /// Failed runs in a row after which a backend server gets no work for a
