--- a/src/cluster/controlnode.h
+++ b/src/cluster/controlnode.h
@@ -4,6 +4,7 @@
 #include "cluster/backenddirectory.h"
 #include "cluster/clusterbus.h"
 #include "cluster/dispatchservice.h"
+#include "cluster/jobstoreservice.h"
 #include "cluster/registerservice.h"
 #include "framework/metrics/registry.h"
 #include "framework/net/stallwatch.h"
@@ -40,6 +41,7 @@
   ClusterBus Bus;
   RegisterService Configuration;
   DispatchService Dispatch;
+  JobStoreService Stored;
   BackendDirectory Backends;
   Instant ConfigurationAsked;
   StallWatch Watch;
--- a/src/cluster/dispatchservice.h
+++ b/src/cluster/dispatchservice.h
@@ -16,11 +16,22 @@
 /// and its answers to entry VMs.
 class DispatchService {
 public:
+  /// What becomes of stored jobs.
+  struct StoredJobs {
+    /// Answers a request for a job that was stored before; false if it was not.
+    std::function<bool(const JobSubmission &, const JobSource &)> Known;
+    std::function<void(const StoreJob &)> Store;
+    std::function<void(const JobProgressed &)> Progress;
+    std::function<void(const RunEnded &)> End;
+    /// Answers a query about a job that this VM does not run in memory.
+    std::function<void(const VmId &, const JobQuery &)> Query;
+  };
   struct Callbacks {
     /// A backend server was taken or given up.
     std::function<void(const OwnershipChanged &)> Ownership;
     /// Looks whether this VM stood still, before an answer is acted on.
     std::function<void()> CheckStall;
+    StoredJobs Stored;
   };
 
   DispatchService(EventLoop &Loop, const ClusterSettings &Of, ClusterBus &Bus,
@@ -39,6 +50,8 @@
   void abandonAll();
   void peerLoad(const ClusterHeartbeat &Message);
 
+  /// Answers a request for a job.
+  void answer(const JobAnswer &Answer) { perform(Answer); }
   Dispatcher &dispatcher() { return Decisions; }
   /// Carries out what the dispatcher has decided since.
   void run();
@@ -56,6 +69,9 @@
   void perform(const OwnershipChanged &Change);
   void perform(const RunDecided &Decision);
   void perform(const AdmissionDecided &Decision);
+  void perform(const StoreJob &Effect) { Calls.Stored.Store(Effect); }
+  void perform(const JobProgressed &Effect) { Calls.Stored.Progress(Effect); }
+  void perform(const RunEnded &Effect) { Calls.Stored.End(Effect); }
   void tick();
 
   EventLoop &Loop;
@@ -73,6 +89,7 @@
   Counter &Started;
   Counter &Refused;
   Counter &Redirected;
+  Counter &AcceptedJobs;
   Counter &CompletedJobs;
   Counter &FailedJobs;
   Counter &GivenUpJobs;
--- a/src/cluster/entrynode.h
+++ b/src/cluster/entrynode.h
@@ -26,6 +26,14 @@
   using JobHandler = std::function<void(const JobAnswer &)>;
   /// Absent: some dispatcher that might know could not be asked.
   using StatusHandler = std::function<void(std::optional<JobStatus>)>;
+  enum class CancelResult {
+    /// The job has ended for good.
+    Ended,
+    UnknownJob,
+    /// The VM that runs the job could not be asked, or has not answered.
+    Unreachable,
+  };
+  using CancelHandler = std::function<void(CancelResult)>;
   using CountHandler = std::function<void(std::optional<uint64_t>)>;
 
   EntryNode(EventLoop &Loop, const ClusterSettings &Of, TableReader ReadTable);
@@ -38,10 +46,10 @@
   const std::optional<RoutingTable> &table() const { return Table; }
 
   void submit(const JobSubmission &Request, JobHandler Handler);
-  /// Asks for a job, and ends it if \p Cancel is set.
-  void query(const std::string &Job, bool Cancel, StatusHandler Handler);
-  /// Counts the jobs of \p Service that have not started.
-  void pending(const std::string &Service, CountHandler Handler);
+  void query(const std::string &Job, StatusHandler Handler);
+  void cancel(const std::string &Job, CancelHandler Handler);
+  /// Counts the jobs of \p Queue that have not started.
+  void pending(const std::string &Queue, CountHandler Handler);
 
   /// Tells the balancer that callers should go elsewhere.
   void drain() { Draining = true; }
@@ -67,16 +75,20 @@
     std::set<std::string> Asked;
     bool Incomplete = false;
     JobStatus Best = JobStatus::Unknown;
+    bool Ended = false;
     uint64_t Sum = 0;
     StatusHandler OnStatus;
+    CancelHandler OnCancel;
     CountHandler OnCount;
     Instant Deadline;
   };
 
   void received(const VmId &From, const ClusterMessage &Message);
   void answered(const VmId &From, const JobAnswer &Answer);
-  void queryAnswered(const VmId &From, uint64_t Request, JobStatus Status,
-                     uint64_t Count);
+  void queryAnswered(const VmId &From, const JobQueryAnswer &Answer);
+  void queryAnswered(const VmId &From, const PendingAnswer &Answer);
+  /// Notes that a VM has answered and returns its question, if it is open.
+  OpenQuery *answeredQuery(const VmId &From, uint64_t Number);
   void peerUp(const VmId &Peer);
   void peerDown(const VmId &Peer);
   void configurationTold(const VmId &From, const ClusterHeartbeat &Message);
--- a/src/cluster/internal/controlnode.cpp
+++ b/src/cluster/internal/controlnode.cpp
@@ -35,7 +35,17 @@
                {[this](const OwnershipChanged &Change) {
                   Backends.ownershipChanged(Change);
                 },
-                [this] { Watch.check(); }}),
+                [this] { Watch.check(); },
+                {[this](const JobSubmission &Job, const JobSource &From) {
+                   return Stored.answerKnown(Job, From);
+                 },
+                 [this](const StoreJob &Each) { Stored.store(Each); },
+                 [this](const JobProgressed &Each) { Stored.progressed(Each); },
+                 [this](const RunEnded &Each) { Stored.runEnded(Each); },
+                 [this](const VmId &From, const JobQuery &Each) {
+                   Stored.query(From, Each);
+                 }}}),
+      Stored(Loop, Of, Bus, Configuration, Dispatch),
       Backends(Loop, Bus, Dispatch),
       Watch(Loop, StallLimit, [this] { stalled(); }) {}
 
@@ -44,6 +54,9 @@
       [this](const RegisterValue &Value) { chosen(Value); });
   if (isError(Kept))
     return Kept;
+  Result<Done> Opened = Stored.start();
+  if (isError(Opened))
+    return Opened;
   Result<Done> Linked = Bus.start();
   if (isError(Linked))
     return Linked;
@@ -58,6 +71,7 @@
   // Entry VMs have answered their callers, who may have sent the jobs
   // elsewhere: nothing of them may be started any more.
   Dispatch.abandonAll();
+  Stored.stalled();
   Bus.dropLinks();
 }
 
@@ -68,7 +82,7 @@
 }
 
 bool ControlNode::drained() {
-  return Dispatch.dispatcher().openJobs() == 0 &&
+  return Dispatch.dispatcher().openRequests() == 0 &&
          Dispatch.dispatcher().owned().empty();
 }
 
@@ -87,6 +101,8 @@
     Backends.received(From, *Owners);
   else if (const auto *Register = std::get_if<RegisterMessage>(&Message))
     Configuration.received(From, *Register);
+  else if (const auto *Jobs = std::get_if<JobStoreMessage>(&Message))
+    Stored.received(From, *Jobs);
 }
 
 void ControlNode::heartbeat(const VmId &From, const ClusterHeartbeat &Message) {
--- a/src/cluster/internal/dispatchservice.cpp
+++ b/src/cluster/internal/dispatchservice.cpp
@@ -41,6 +41,8 @@
                               "Jobs of which nothing ran.")),
       Redirected(Metrics.counter("sapphiremoor_dispatch_redirected_total",
                                  "Jobs sent to another dispatcher.")),
+      AcceptedJobs(Metrics.counter("sapphiremoor_dispatch_accepted_total",
+                                   "Jobs that were stored and accepted.")),
       CompletedJobs(Metrics.counter("sapphiremoor_dispatch_done_total",
                                     "Jobs that completed.")),
       FailedJobs(Metrics.counter("sapphiremoor_dispatch_failed_total",
@@ -56,6 +58,8 @@
 void DispatchService::submit(const VmId &From, const SubmitJob &Message) {
   Submitted.add();
   const JobSource Source{From.Name, Message.Request};
+  if (Message.Job.Stored && Calls.Stored.Known(Message.Job, Source))
+    return;
   if (Draining && !Message.Resumed &&
       Decisions.status(Message.Job.Id) == JobStatus::Unknown) {
     perform(JobAnswer{Source,
@@ -74,16 +78,20 @@
 }
 
 void DispatchService::query(const VmId &From, const JobQuery &Message) {
+  if (!Decisions.inMemory(Message.Job)) {
+    Calls.Stored.Query(From, Message);
+    return;
+  }
   const JobStatus Before = Decisions.status(Message.Job);
   if (Message.Cancel)
     Decisions.cancel(Message.Job, Loop.now());
-  Bus.send(From.Name, JobQueryAnswer{Message.Request, Before});
+  Bus.send(From.Name, JobQueryAnswer{Message.Request, Before, Message.Cancel});
   run();
 }
 
 void DispatchService::pending(const VmId &From, const PendingQuery &Message) {
   Bus.send(From.Name,
-           PendingAnswer{Message.Request, Decisions.pending(Message.Service)});
+           PendingAnswer{Message.Request, Decisions.pending(Message.Queue)});
 }
 
 void DispatchService::peerUp(const VmId &Peer) {
@@ -175,6 +183,8 @@
 void DispatchService::perform(const JobAnswer &Answer) {
   if (Answer.Reason == JobReason::Redirected)
     Redirected.add();
+  else if (Answer.Result == JobResult::Accepted)
+    AcceptedJobs.add();
   else if (Answer.Result == JobResult::Done)
     CompletedJobs.add();
   else if (Answer.Result == JobResult::Failed)
@@ -183,7 +193,7 @@
     GivenUpJobs.add();
   else
     Refused.add();
-  if (Answer.Result != JobResult::Done)
+  if (Answer.Result != JobResult::Done && Answer.Result != JobResult::Accepted)
     logEvent(events::JobDispatched,
              {{"job", Answer.Job},
               {"result", std::string(resultName(Answer.Result))},
--- a/src/cluster/internal/entrynode.cpp
+++ b/src/cluster/internal/entrynode.cpp
@@ -152,9 +152,9 @@
     if (const auto *Chosen = std::get_if<ChosenValue>(Register))
       adopt(*Chosen);
   } else if (const auto *Status = std::get_if<JobQueryAnswer>(&Message))
-    queryAnswered(From, Status->Request, Status->Status, 0);
+    queryAnswered(From, *Status);
   else if (const auto *Count = std::get_if<PendingAnswer>(&Message))
-    queryAnswered(From, Count->Request, JobStatus::Unknown, Count->Jobs);
+    queryAnswered(From, *Count);
 }
 
 void EntryNode::answered(const VmId &From, const JobAnswer &Answer) {
@@ -267,33 +267,57 @@
   return Number;
 }
 
-void EntryNode::query(const std::string &Job, bool Cancel,
-                      StatusHandler Handler) {
+void EntryNode::query(const std::string &Job, StatusHandler Handler) {
   OpenQuery Query;
   Query.OnStatus = std::move(Handler);
   ask(std::move(Query), [&](uint64_t Number) {
-    return ClusterMessage(JobQuery{Number, Job, Cancel});
+    return ClusterMessage(JobQuery{Number, Job, false});
   });
 }
 
-void EntryNode::pending(const std::string &Service, CountHandler Handler) {
+void EntryNode::cancel(const std::string &Job, CancelHandler Handler) {
+  OpenQuery Query;
+  Query.OnCancel = std::move(Handler);
+  ask(std::move(Query), [&](uint64_t Number) {
+    return ClusterMessage(JobQuery{Number, Job, true});
+  });
+}
+
+void EntryNode::pending(const std::string &Queue, CountHandler Handler) {
   OpenQuery Query;
   Query.OnCount = std::move(Handler);
   ask(std::move(Query), [&](uint64_t Number) {
-    return ClusterMessage(PendingQuery{Number, Service});
+    return ClusterMessage(PendingQuery{Number, Queue});
   });
 }
 
-void EntryNode::queryAnswered(const VmId &From, uint64_t Request,
-                              JobStatus Status, uint64_t Count) {
-  const auto Found = Queries.find(Request);
+EntryNode::OpenQuery *EntryNode::answeredQuery(const VmId &From,
+                                               uint64_t Number) {
+  const auto Found = Queries.find(Number);
   if (Found == Queries.end() || Found->second.Asked.erase(From.Name) == 0)
+    return nullptr;
+  return &Found->second;
+}
+
+void EntryNode::queryAnswered(const VmId &From, const JobQueryAnswer &Answer) {
+  OpenQuery *Query = answeredQuery(From, Answer.Request);
+  if (Query == nullptr)
+    return;
+  // A copy that is behind tells an earlier state; later states have greater
+  // values.
+  Query->Best = std::max(Query->Best, Answer.Status);
+  Query->Ended |= Answer.Ended;
+  if (Query->Asked.empty() || Query->Ended)
+    finishQuery(Answer.Request);
+}
+
+void EntryNode::queryAnswered(const VmId &From, const PendingAnswer &Answer) {
+  OpenQuery *Query = answeredQuery(From, Answer.Request);
+  if (Query == nullptr)
     return;
-  Found->second.Sum += Count;
-  if (Status != JobStatus::Unknown)
-    Found->second.Best = Status;
-  if (Found->second.Asked.empty())
-    finishQuery(Request);
+  Query->Sum += Answer.Jobs;
+  if (Query->Asked.empty())
+    finishQuery(Answer.Request);
 }
 
 void EntryNode::finishQuery(uint64_t Number) {
@@ -301,12 +325,13 @@
   const OpenQuery Query = std::move(Found->second);
   Queries.erase(Found);
   const bool Sure = !Query.Incomplete && Query.Asked.empty();
-  if (Query.OnStatus) {
-    if (Sure || Query.Best != JobStatus::Unknown)
-      Query.OnStatus(Query.Best);
-    else
-      Query.OnStatus(std::nullopt);
-  }
+  const bool Known = Query.Best != JobStatus::Unknown;
+  if (Query.OnStatus)
+    Query.OnStatus(Sure || Known ? std::optional(Query.Best) : std::nullopt);
+  if (Query.OnCancel)
+    Query.OnCancel(Query.Ended      ? CancelResult::Ended
+                   : Sure && !Known ? CancelResult::UnknownJob
+                                    : CancelResult::Unreachable);
   if (Query.OnCount)
     Query.OnCount(Sure ? std::optional(Query.Sum) : std::nullopt);
 }
--- a/src/cluster/internal/jobtext.cpp
+++ b/src/cluster/internal/jobtext.cpp
@@ -12,6 +12,8 @@
     return "not_run";
   case JobResult::GivenUp:
     return "given_up";
+  case JobResult::Accepted:
+    return "accepted";
   }
   return "given_up";
 }
--- /dev/null
+++ b/src/cluster/jobstoreservice.h
@@ -0,0 +1,116 @@
+#ifndef SAPPHIREMOOR_CLUSTER_JOBSTORESERVICE_H
+#define SAPPHIREMOOR_CLUSTER_JOBSTORESERVICE_H
+
+#include "cluster/clusterbus.h"
+#include "cluster/dispatchservice.h"
+#include "cluster/registerservice.h"
+#include "framework/storage/storagetask.h"
+#include "jobstore/jobcopy.h"
+#include "jobstore/jobwriter.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace sapphiremoor {
+
+/// The stored jobs of a control VM: its copy on disk, and the jobs that it runs
+/// by its dispatcher.
+class JobStoreService {
+public:
+  JobStoreService(EventLoop &Loop, const ClusterSettings &Of, ClusterBus &Bus,
+                  RegisterService &Configuration, DispatchService &Dispatch);
+
+  /// Opens the folder of the copy.
+  Result<Done> start();
+
+  void received(const VmId &From, const JobStoreMessage &Message);
+  /// Answers a request for a job that was stored before; false if it was not.
+  bool answerKnown(const JobSubmission &Job, const JobSource &From);
+  void store(const StoreJob &Effect);
+  void progressed(const JobProgressed &Effect);
+  void runEnded(const RunEnded &Effect);
+  void query(const VmId &From, const JobQuery &Message);
+  /// This VM stood still and may have lost its rights.
+  void stalled();
+
+private:
+  struct Waiting {
+    uint64_t Version = 0;
+    std::function<void()> OnStored;
+    /// The end that waits, if it is one.
+    std::optional<RunEnded> End;
+  };
+  /// An end that the VM which runs the job has to store.
+  struct OpenEnd {
+    RunEnded Of;
+    Instant NextTry;
+  };
+
+  void run();
+  void perform(const SendToCopy &Effect);
+  void perform(const AppendEntry &Effect);
+  void perform(const JobStored &Effect);
+  void perform(const JobHeldElsewhere &Effect);
+  void perform(const ProgressStored &Effect);
+  void perform(const JobsLost &Effect);
+  void deliverOwn(const JobStoreMessage &Message);
+  void stored(const std::vector<StorageReply> &Replies);
+  void takeSnapshot();
+  /// Calls \p OnStored once all that was written of the job is durable.
+  void whenStored(const std::string &Job, std::function<void()> OnStored,
+                  std::optional<RunEnded> End = {});
+  void answerSources(const std::string &Job, JobResult Result, JobReason Reason,
+                     const std::string &Target = {});
+  /// Called with true if the end is superseded.
+  using EndHandler = std::function<void(bool)>;
+  void confirm(const EndReference &End, bool Superseded);
+  /// Takes the end of a run of an own job and calls \p OnStored once it is
+  /// durable. Returns false if the job is not run here, or not yet.
+  bool takeEnd(const RunEndNews &News, EndHandler OnStored);
+  /// Takes the ends of a job that were told before its takeover was complete.
+  void takeEarlyEnds(const std::string &Job, JobProgress &Progress);
+  /// Returns true if the end needs no further try.
+  bool settle(OpenEnd &Each);
+  void endTold(const VmId &From, const RunEndNews &News);
+  void endStored(const RunEndStored &Stored);
+  /// Returns true if a majority of the voters can be asked.
+  bool majorityReachable() const;
+  JobStatus status(const std::string &Job) const;
+  /// Returns the writer of a partition as far as this copy knows.
+  std::string writerOf(const std::string &Partition) const;
+  /// Returns the VM of a writer, if that process is live.
+  std::optional<std::string> liveVm(const std::string &Writer) const;
+  void considerTakeovers();
+  void tick();
+
+  EventLoop &Loop;
+  const ClusterSettings &Of;
+  ClusterBus &Bus;
+  RegisterService &Configuration;
+  DispatchService &Dispatch;
+  std::unique_ptr<JobCopy> Copy;
+  JobWriter Writer;
+  std::unique_ptr<StorageTask> Storage;
+  bool StorageLost = false;
+  bool Running = false;
+  uint64_t NextRecord = 1;
+  std::size_t LogBytes = 0;
+  /// Requests that wait until their job is stored.
+  std::multimap<std::string, JobSource> Sources;
+  std::multimap<std::string, Waiting> OnStored;
+  std::vector<OpenEnd> OpenEnds;
+  /// Ends that other VMs told of jobs whose takeover goes on, by job.
+  std::multimap<std::string, std::pair<RunEndNews, EndHandler>> EarlyEnds;
+  /// Since when the writer of a partition is gone.
+  std::map<std::string, Instant> GoneSince;
+  Instant NextTakeoverCheck;
+  Timer TickTimer;
+};
+
+} // namespace sapphiremoor
+
+#endif // SAPPHIREMOOR_CLUSTER_JOBSTORESERVICE_H
--- a/src/cluster/registerservice.h
+++ b/src/cluster/registerservice.h
@@ -29,6 +29,8 @@
   void received(const VmId &From, const RegisterMessage &Message);
   void peerUp(const VmId &Peer);
 
+  /// The VMs whose majority decides.
+  const VoterSet &voters() const { return Node->voters(); }
   /// Ballot of the newest chosen value.
   Ballot chosenBallot() const;
   const std::optional<ChosenValue> &chosen() const { return Node->chosen(); }
--- a/src/cluster/types/clustermessage.h
+++ b/src/cluster/types/clustermessage.h
@@ -6,6 +6,7 @@
 #include "dispatch/types/backendreport.h"
 #include "dispatch/types/dispatcheffect.h"
 #include "dispatch/types/jobsubmission.h"
+#include "jobstore/types/jobstoremessage.h"
 #include "versionregister/types/registermessage.h"
 
 #include <cereal/types/optional.hpp>
@@ -61,19 +62,21 @@
 struct JobQueryAnswer {
   uint64_t Request = 0;
   JobStatus Status = JobStatus::Unknown;
+  /// The job has ended, or was ended by this query, for good.
+  bool Ended = false;
 
   template <typename Archive> void serialize(Archive &Ar) {
-    Ar(Request, Status);
+    Ar(Request, Status, Ended);
   }
 };
 
-/// Asks for the jobs of a service that have not started.
+/// Asks for the jobs of a queue that have not started.
 struct PendingQuery {
   uint64_t Request = 0;
-  std::string Service;
+  std::string Queue;
 
   template <typename Archive> void serialize(Archive &Ar) {
-    Ar(Request, Service);
+    Ar(Request, Queue);
   }
 };
 
@@ -106,7 +109,7 @@
 using ClusterMessage =
     std::variant<ClusterHeartbeat, SubmitJob, JobAnswer, JobQuery,
                  JobQueryAnswer, PendingQuery, PendingAnswer, BackendReports,
-                 OwnershipNews, RegisterMessage>;
+                 OwnershipNews, RegisterMessage, JobStoreMessage>;
 
 } // namespace sapphiremoor
 
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -40,7 +40,14 @@
   Running,
   Done,
   Failed,
-  GivenUp
+  Cancelled,
+};
+
+/// What the end of a run that a former owner had started meant.
+enum class ForeignEnd {
+  Counted,
+  /// Another run of the task was started before the end was known.
+  Superseded,
 };
 
 /// Places the tasks of jobs on backend servers that this VM controls, never
@@ -84,6 +91,23 @@
   /// Joins a job that was submitted before. One that is not known any more may
   /// have run, so it is given up.
   void resume(const std::string &Job, const JobSource &From);
+  /// Runs a stored job from where it stood. The end of the job is told by
+  /// JobProgressed.
+  void runStored(const JobSubmission &Request, const JobProgress &Progress,
+                 Instant Now);
+  /// Another VM has the right to the stored job now: its runs are stopped.
+  void dropStored(const std::string &Job, Instant Now);
+  /// The right to run stored jobs lasts until then; after it their runs are
+  /// stopped.
+  void storedUntil(Instant Until) { StoredLease = Until; }
+  /// The end may be confirmed to its backend server. A \p Superseded one came
+  /// after another run of the task had been started: it must not count, so the
+  /// lease of the backend server has to expire first.
+  void endStored(const EndReference &End, bool Superseded, Instant Now);
+  /// A run of a stored job that a former owner had started has ended. Returns
+  /// nothing if the job is not run here.
+  std::optional<ForeignEnd> foreignEnded(const TaskId &Task, uint64_t Run,
+                                         RunEnd How, Instant Now);
   /// Ends a job for all its callers. Returns false if it is not known.
   bool cancel(const std::string &Job, Instant Now);
   /// The VM that holds callers' connections is out of reach: its requests are
@@ -92,9 +116,11 @@
   /// Returns the backend server where a run of the task is or may be, or
   /// nothing.
   std::string placeOf(const TaskId &Task) const;
+  /// Returns true if the job is known here and not a stored one.
+  bool inMemory(const std::string &Job) const;
   JobStatus status(const std::string &Job) const;
-  /// Jobs of \p Service that have not started.
-  std::size_t pending(const std::string &Service) const;
+  /// Jobs of \p Queue that have not started.
+  std::size_t pending(const std::string &Queue) const;
 
   /// Tells how much another dispatcher can take on; absent if it is down.
   void peerLoad(const std::string &Vm, std::optional<DispatchLoad> Load);
@@ -111,6 +137,8 @@
   std::vector<DispatchEffect> takeEffects();
 
   std::size_t openJobs() const { return Jobs.size(); }
+  /// Jobs whose callers wait for their end.
+  std::size_t openRequests() const;
 
 private:
   using Backend = detail::BackendState;
@@ -143,6 +171,9 @@
   // Jobs.
   static QueueKey keyOf(const Job &Of);
   bool possible(const JobSubmission &Request) const;
+  /// The same for the backend servers of this dispatcher.
+  bool possibleHere(const JobSubmission &Request) const;
+  void checkPlaceable();
   bool anyWaiting(const Job &Of) const;
   void learnUsual(const JobSubmission &Request);
   bool answerKnown(const std::string &Job, const JobSource &From);
@@ -151,7 +182,19 @@
               const std::string &Target = {});
   void endJob(const std::string &Name, JobResult Result, JobReason Reason,
               Instant Now, int64_t RetryAfterMs = 0);
-  void taskDone(const TaskId &Task, Instant Now);
+  /// Forgets a job and stops its runs.
+  void removeJob(const std::string &Name, Instant Now);
+  void submitStored(const JobSubmission &Request, const JobSource &From,
+                    uint8_t Redirects, Instant Now);
+  /// Sends a job that would have to wait to a dispatcher that can start it.
+  bool redirect(const JobSubmission &Request, const JobSource &From,
+                uint8_t Redirects, Duration Wait);
+  void progressed(const Job &Of);
+  bool stored(const std::string &Job) const;
+  /// Stops the runs of stored jobs when the right to them has ended.
+  void revokeStored(Instant Now);
+  bool holdsRevoked(const Backend &On, Instant Now) const;
+  void taskDone(const TaskId &Task, uint64_t Run, Instant Now);
   void taskFailed(const TaskId &Task, const std::string &Where, Instant Now);
   void requeue(const TaskId &Task, const std::string &Avoid);
   void expireJobs(Instant Now);
@@ -195,6 +238,8 @@
   /// Frees the room of a run and returns it.
   Run takeRun(Backend &On, const TaskId &Task);
   void runEnded(Backend &On, const EndedRun &Ended, Instant Now);
+  /// Holds the confirmation of an end back until it is stored.
+  void reportEnd(Backend &On, const EndedRun &Ended, bool Taken);
   /// Whether orders that have no answer yet can still take effect.
   enum class LateOrders { Possible, Excluded };
   void runGone(Backend &On, const TaskId &Task, LateOrders Late);
@@ -210,6 +255,8 @@
   bool hopeless(const Job &Of, Duration Age, int64_t Percent,
                 Instant Now) const;
   void stopStrangers(Backend &On, const RunList &List, Instant Now);
+  /// Confirms superseded ends once the lease has expired.
+  void confirmSuperseded(Backend &On, Instant Now);
   void probeAnswered(Backend &Of, Instant Now);
   void becomeOwned(Backend &Of);
   void fenced(Backend &Of, Instant Now);
@@ -237,6 +284,7 @@
   std::map<std::string, Outcome> Outcomes;
   /// Where each run is that may be active.
   std::map<TaskId, std::string> LiveRuns;
+  Instant StoredLease;
   std::map<TaskId, UnresolvedStart> UnresolvedStarts;
   std::map<std::string, DispatchLoad> Peers;
   /// By the first label of backend servers, which names the kind of machine.
--- a/src/dispatch/internal/backendstate.h
+++ b/src/dispatch/internal/backendstate.h
@@ -8,6 +8,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 
 namespace sapphiremoor::detail {
 
@@ -36,6 +37,8 @@
   std::optional<Instant> StopAccepted;
   /// The task is done for, whatever becomes of this run.
   bool Abandoned = false;
+  /// The job is a stored one.
+  bool Stored = false;
 };
 
 enum class OwnerMode {
@@ -59,7 +62,15 @@
   int TokenRaises = 0;
   BackendClock Clock;
   BackendHealth Health;
-  uint64_t ConfirmedEnds = 0;
+  /// Ends up to this number were acted on.
+  uint64_t SeenEnds = 0;
+  /// Ends of stored jobs that are not durable yet.
+  std::set<uint64_t> UnstoredEnds;
+  /// Those of them that must not count. Nothing is placed until they are
+  /// confirmed.
+  std::set<uint64_t> SupersededEnds;
+  /// When an order last extended the lease.
+  Instant LeaseGiven;
   std::map<TaskId, RunState> Runs;
   Resources Used;
   /// No answer came to the last order; nothing new is placed.
@@ -79,6 +90,11 @@
   bool Releasing = false;
 
   Resources room() const { return Report.Capacity - Used; }
+
+  /// Ends up to this number may be confirmed.
+  uint64_t confirmableEnds() const {
+    return UnstoredEnds.empty() ? SeenEnds : *UnstoredEnds.begin() - 1;
+  }
 };
 
 } // namespace sapphiremoor::detail
--- a/src/dispatch/internal/dispatcherjobs.cpp
+++ b/src/dispatch/internal/dispatcherjobs.cpp
@@ -5,6 +5,7 @@
 
 namespace sapphiremoor {
 
+using detail::OwnerMode;
 using detail::TaskPhase;
 using detail::TaskState;
 
@@ -41,17 +42,26 @@
 bool Dispatcher::possible(const JobSubmission &Request) const {
   return std::ranges::all_of(Request.Steps, [&](const StepRequest &Step) {
     return std::ranges::any_of(Backends, [&](const auto &Each) {
-      const BackendReport &Known = Each.second.Report;
-      const bool Labelled =
-          Step.RequiredLabel.empty() ||
-          std::ranges::find(Known.Labels, Step.RequiredLabel) !=
-              Known.Labels.end();
-      return Known.Service == Request.Policy.Service && Labelled &&
-             fits(Step.Need, Known.Capacity);
+      return detail::couldRun(Each.second.Report, Request.Policy.Service, Step);
     });
   });
 }
 
+bool Dispatcher::possibleHere(const JobSubmission &Request) const {
+  return std::ranges::all_of(Request.Steps, [&](const StepRequest &Step) {
+    return std::ranges::any_of(Backends, [&](const auto &Each) {
+      return Each.second.Mode == OwnerMode::Owned &&
+             detail::couldRun(Each.second.Report, Request.Policy.Service, Step);
+    });
+  });
+}
+
+void Dispatcher::checkPlaceable() {
+  for (auto &[Name, Of] : Jobs)
+    if (Of.Request.Stored)
+      Of.Placeable = possibleHere(Of.Request);
+}
+
 bool Dispatcher::answerKnown(const std::string &Name, const JobSource &From) {
   const auto Ended = Outcomes.find(Name);
   if (Ended != Outcomes.end()) {
@@ -61,7 +71,10 @@
   const auto Open = Jobs.find(Name);
   if (Open == Jobs.end())
     return false;
-  Open->second.Sources.push_back(From);
+  if (Open->second.Request.Stored)
+    answer(From, Name, JobResult::Accepted, JobReason::None);
+  else
+    Open->second.Sources.push_back(From);
   return true;
 }
 
@@ -88,6 +101,10 @@
     answer(From, Request.Id, JobResult::NotRun, JobReason::Impossible);
     return;
   }
+  if (Request.Stored) {
+    submitStored(Request, From, Redirects, Now);
+    return;
+  }
   if (mayStartLate(Request.Id, Now)) {
     answer(From, Request.Id, JobResult::GivenUp, JobReason::Cancelled);
     return;
@@ -106,18 +123,11 @@
     return;
   }
   learnUsual(Request);
-  Job Made = detail::makeJob(Request, From, NextArrival++, Now);
+  Job Made = detail::makeJob(Request, NextArrival++, Now);
+  Made.Sources.push_back(From);
   const Duration Wait = expectedWait(Made, Now);
-  if (Wait > Duration::zero() && Redirects < Limits.MostRedirects) {
-    std::size_t Tasks = 0;
-    for (const StepRequest &Step : Request.Steps)
-      Tasks = std::max<std::size_t>(Tasks, Step.Count);
-    if (const auto Peer = betterPeer(Tasks, Wait)) {
-      answer(From, Request.Id, JobResult::NotRun, JobReason::Redirected, 0,
-             *Peer);
-      return;
-    }
-  }
+  if (redirect(Request, From, Redirects, Wait))
+    return;
   // A job that cannot meet its latency objective is refused at once, so that
   // the caller can turn elsewhere and the jobs ahead of it are still in time.
   if (tooLate(Made, Wait, Now)) {
@@ -132,6 +142,143 @@
   schedule(Now);
 }
 
+bool Dispatcher::redirect(const JobSubmission &Request, const JobSource &From,
+                          uint8_t Redirects, Duration Wait) {
+  if (Wait <= Duration::zero() || Redirects >= Limits.MostRedirects)
+    return false;
+  std::size_t Tasks = 0;
+  for (const StepRequest &Step : Request.Steps)
+    Tasks = std::max<std::size_t>(Tasks, Step.Count);
+  const auto Peer = betterPeer(Tasks, Wait);
+  if (Peer)
+    answer(From, Request.Id, JobResult::NotRun, JobReason::Redirected, 0,
+           *Peer);
+  return Peer.has_value();
+}
+
+void Dispatcher::submitStored(const JobSubmission &Request,
+                              const JobSource &From, uint8_t Redirects,
+                              Instant Now) {
+  learnUsual(Request);
+  const Job Made = detail::makeJob(Request, NextArrival, Now);
+  const Duration Wait = expectedWait(Made, Now);
+  if (redirect(Request, From, Redirects, Wait))
+    return;
+  // A stored job cannot be taken back, so only what would be far too late is
+  // refused. Without any place at hand the wait is not known.
+  const Duration Patience = Limits.StoredPatience * (Made.Objective - Now);
+  if (Jobs.size() >= Limits.MostJobs ||
+      (Wait != Duration::max() && Wait > Patience)) {
+    logAdmission(Made, JobReason::Overloaded, Wait, Now);
+    answer(From, Request.Id, JobResult::NotRun, JobReason::Overloaded,
+           Wait == Duration::max() ? NoBackendRetryMs : millisecondsOf(Wait));
+    return;
+  }
+  Effects.emplace_back(StoreJob{Request, From});
+}
+
+void Dispatcher::runStored(const JobSubmission &Request,
+                           const JobProgress &Progress, Instant Now) {
+  if (Jobs.contains(Request.Id))
+    return;
+  Job Made = detail::makeJob(Request, NextArrival++, Now);
+  detail::applyProgress(Made, Progress);
+  const Job &Added = Jobs.emplace(Request.Id, std::move(Made)).first->second;
+  if (detail::complete(Added)) {
+    endJob(Request.Id, JobResult::Done, JobReason::None, Now);
+    return;
+  }
+  Queue.insert(keyOf(Added));
+  schedule(Now);
+}
+
+void Dispatcher::dropStored(const std::string &Name, Instant Now) {
+  if (!stored(Name))
+    return;
+  removeJob(Name, Now);
+  schedule(Now);
+}
+
+void Dispatcher::endStored(const EndReference &End, bool Superseded,
+                           Instant Now) {
+  const auto Found = Backends.find(End.Backend);
+  if (Found == Backends.end() || Found->second.Life != End.Life)
+    return;
+  Backend &On = Found->second;
+  if (Superseded) {
+    On.SupersededEnds.insert(End.Number);
+    return;
+  }
+  On.UnstoredEnds.erase(End.Number);
+  if (On.UnstoredEnds.empty() && On.Mode == OwnerMode::Owned)
+    sendHold(On, Now);
+}
+
+std::optional<ForeignEnd> Dispatcher::foreignEnded(const TaskId &Task,
+                                                   uint64_t Run, RunEnd How,
+                                                   Instant Now) {
+  const auto Found = Jobs.find(Task.Job);
+  if (Found == Jobs.end() || !Found->second.Request.Stored ||
+      Task.Step >= Found->second.Steps.size() ||
+      Task.Index >= Found->second.Steps[Task.Step].Tasks.size())
+    return std::nullopt;
+  detail::StepState &Step = Found->second.Steps[Task.Step];
+  TaskState &Of = Step.Tasks[Task.Index];
+  if (Of.DoneRun == Run)
+    return ForeignEnd::Counted;
+  if (Of.LastOrdered > Run || Of.Phase == TaskPhase::Done)
+    return ForeignEnd::Superseded;
+  Of.LastRun = std::max(Of.LastRun, Run);
+  if (How == RunEnd::Failed) {
+    if (!Found->second.ForeignFailures.insert({Task, Run}).second)
+      return ForeignEnd::Counted;
+    ++Of.Failures;
+    if (Of.Failures >= Found->second.Request.Policy.Attempts)
+      endJob(Task.Job, JobResult::Failed, JobReason::TaskFailed, Now);
+    else
+      progressed(Found->second);
+    return ForeignEnd::Counted;
+  }
+  if (const auto Live = LiveRuns.find(Task); Live != LiveRuns.end()) {
+    Backend &On = Backends.at(Live->second);
+    On.Runs.at(Task).Abandoned = true;
+    sendStop(On, Task, On.Runs.at(Task), Now);
+  }
+  if (Of.Phase == TaskPhase::Waiting)
+    --Step.Waiting;
+  taskDone(Task, Run, Now);
+  schedule(Now);
+  return ForeignEnd::Counted;
+}
+
+bool Dispatcher::stored(const std::string &Name) const {
+  const auto Found = Jobs.find(Name);
+  return Found != Jobs.end() && Found->second.Request.Stored;
+}
+
+void Dispatcher::progressed(const Job &Of) {
+  if (Of.Request.Stored)
+    Effects.emplace_back(JobProgressed{Of.Request.Id, detail::progressOf(Of)});
+}
+
+void Dispatcher::revokeStored(Instant Now) {
+  if (Now < StoredLease)
+    return;
+  for (const auto &[Task, Where] : LiveRuns) {
+    Backend &On = Backends.at(Where);
+    Run &Of = On.Runs.at(Task);
+    if (Of.Phase != detail::RunPhase::Stopping && stored(Task.Job))
+      sendStop(On, Task, Of, Now);
+  }
+}
+
+bool Dispatcher::holdsRevoked(const Backend &On, Instant Now) const {
+  return Now >= StoredLease &&
+         std::ranges::any_of(On.Runs, [this](const auto &Each) {
+           return stored(Each.first.Job);
+         });
+}
+
 void Dispatcher::resume(const std::string &Name, const JobSource &From) {
   if (!answerKnown(Name, From))
     answer(From, Name, JobResult::GivenUp, JobReason::Cancelled);
@@ -153,7 +300,7 @@
   for (auto &[Name, Of] : Jobs) {
     std::erase_if(Of.Sources,
                   [&Vm](const JobSource &Source) { return Source.Vm == Vm; });
-    if (Of.Sources.empty())
+    if (Of.Sources.empty() && !Of.Request.Stored)
       Deserted.push_back(Name);
   }
   for (const std::string &Name : Deserted)
@@ -162,6 +309,10 @@
     schedule(Now);
 }
 
+bool Dispatcher::inMemory(const std::string &Name) const {
+  return (Jobs.contains(Name) && !stored(Name)) || Outcomes.contains(Name);
+}
+
 JobStatus Dispatcher::status(const std::string &Name) const {
   if (const auto Open = Jobs.find(Name); Open != Jobs.end())
     return Open->second.Started ? JobStatus::Running : JobStatus::Queued;
@@ -172,16 +323,21 @@
                                                  : JobStatus::Failed;
 }
 
+std::size_t Dispatcher::openRequests() const {
+  return static_cast<std::size_t>(std::ranges::count_if(
+      Jobs, [](const auto &Each) { return !Each.second.Request.Stored; }));
+}
+
 std::string Dispatcher::placeOf(const TaskId &Task) const {
   const auto Found = LiveRuns.find(Task);
   return Found == LiveRuns.end() ? std::string() : Found->second;
 }
 
-std::size_t Dispatcher::pending(const std::string &Service) const {
+std::size_t Dispatcher::pending(const std::string &Queue) const {
   return static_cast<std::size_t>(
-      std::ranges::count_if(Jobs, [&Service](const auto &Each) {
+      std::ranges::count_if(Jobs, [&Queue](const auto &Each) {
         return !Each.second.Started &&
-               Each.second.Request.Policy.Service == Service;
+               Each.second.Request.Policy.Queue == Queue;
       }));
 }
 
@@ -200,8 +356,20 @@
   Job &Of = Found->second;
   for (const JobSource &Source : Of.Sources)
     answer(Source, Name, Result, Reason, RetryAfterMs);
-  if (Result == JobResult::Done || Result == JobResult::Failed)
+  if (Of.Request.Stored) {
+    JobProgress Last = detail::progressOf(Of);
+    Last.Outcome = Result == JobResult::Done     ? StoredOutcome::Done
+                   : Result == JobResult::Failed ? StoredOutcome::Failed
+                                                 : StoredOutcome::Cancelled;
+    Effects.emplace_back(JobProgressed{Name, std::move(Last)});
+  } else if (Result == JobResult::Done || Result == JobResult::Failed) {
     Outcomes[Name] = {Result, Reason, Now};
+  }
+  removeJob(Name, Now);
+}
+
+void Dispatcher::removeJob(const std::string &Name, Instant Now) {
+  const auto Found = Jobs.find(Name);
   for (auto Live = LiveRuns.lower_bound({Name, 0, 0});
        Live != LiveRuns.end() && Live->first.Job == Name; ++Live) {
     Backend &On = Backends.at(Live->second);
@@ -209,22 +377,22 @@
     Left.Abandoned = true;
     sendStop(On, Live->first, Left, Now);
   }
-  Queue.erase(keyOf(Of));
+  Queue.erase(keyOf(Found->second));
   Jobs.erase(Found);
 }
 
-void Dispatcher::taskDone(const TaskId &Task, Instant Now) {
+void Dispatcher::taskDone(const TaskId &Task, uint64_t Run, Instant Now) {
   const auto Found = Jobs.find(Task.Job);
   if (Found == Jobs.end())
     return;
   detail::StepState &Step = Found->second.Steps[Task.Step];
   Step.Tasks[Task.Index].Phase = TaskPhase::Done;
+  Step.Tasks[Task.Index].DoneRun = Run;
   --Step.NotDone;
-  const bool AllDone = std::ranges::all_of(
-      Found->second.Steps,
-      [](const detail::StepState &Each) { return Each.NotDone == 0; });
-  if (AllDone)
+  if (detail::complete(Found->second))
     endJob(Task.Job, JobResult::Done, JobReason::None, Now);
+  else
+    progressed(Found->second);
 }
 
 void Dispatcher::taskFailed(const TaskId &Task, const std::string &Where,
@@ -234,10 +402,12 @@
     return;
   TaskState &Of = Found->second.Steps[Task.Step].Tasks[Task.Index];
   ++Of.Failures;
-  if (Of.Failures >= Found->second.Request.Policy.Attempts)
+  if (Of.Failures >= Found->second.Request.Policy.Attempts) {
     endJob(Task.Job, JobResult::Failed, JobReason::TaskFailed, Now);
-  else
-    requeue(Task, Where);
+    return;
+  }
+  requeue(Task, Where);
+  progressed(Found->second);
 }
 
 void Dispatcher::requeue(const TaskId &Task, const std::string &Avoid) {
@@ -288,6 +458,8 @@
   std::vector<std::pair<std::string, Duration>> Late;
   for (const QueueKey &Key : Queue) {
     const Job &Of = Jobs.at(Key.Job);
+    if (!Of.Placeable)
+      continue;
     const std::string &Service = Of.Request.Policy.Service;
     auto Found = Forecasts.find(Service);
     if (Found == Forecasts.end())
@@ -296,7 +468,7 @@
                            places(Service, Of.Request.Steps.front().Need, Now))
                   .first;
     const Duration Wait = takePlaces(Found->second, Of);
-    if (!Of.Started && tooLate(Of, Wait, Now))
+    if (!Of.Started && !Of.Request.Stored && tooLate(Of, Wait, Now))
       Late.emplace_back(Key.Job, Wait);
   }
   for (const auto &[Name, Wait] : Late)
@@ -331,7 +503,9 @@
 
 void Dispatcher::tick(Instant Now) {
   expireJobs(Now);
+  checkPlaceable();
   refuseLate(Now);
+  revokeStored(Now);
   for (auto &[Id, Of] : Backends)
     tickBackend(Of, Now);
   schedule(Now);
--- a/src/dispatch/internal/dispatcherownership.cpp
+++ b/src/dispatch/internal/dispatcherownership.cpp
@@ -172,7 +172,9 @@
   Of.Token = tokenOf((Of.Token >> OwnerTagBits) + 1);
   Of.TokenRaises = 0;
   Of.Life = NextLife++;
-  Of.ConfirmedEnds = 0;
+  Of.SeenEnds = 0;
+  Of.UnstoredEnds.clear();
+  Of.SupersededEnds.clear();
   Of.HoldOpen = false;
   sendHold(Of, Now);
 }
@@ -190,7 +192,9 @@
   Of.Health = {};
   Of.Slowness = 1;
   Of.Life = NextLife++;
-  Of.ConfirmedEnds = 0;
+  Of.SeenEnds = 0;
+  Of.UnstoredEnds.clear();
+  Of.SupersededEnds.clear();
   Of.HoldOpen = false;
   if (Of.Mode == OwnerMode::Owned || Of.Mode == OwnerMode::Acquiring)
     takeAgain(Of, Now);
@@ -237,6 +241,7 @@
       return;
     }
     repeatStops(Of, Now);
+    confirmSuperseded(Of, Now);
     break;
   }
   if (!Of.HoldOpen && Now >= Of.NextHold)
--- a/src/dispatch/internal/dispatcherplacement.cpp
+++ b/src/dispatch/internal/dispatcherplacement.cpp
@@ -39,7 +39,8 @@
 
 bool Dispatcher::usable(const Backend &Of, Instant Now) {
   return Of.Mode == OwnerMode::Owned && !Of.Suspect && !Of.Releasing &&
-         !Of.Report.Draining && Now >= Of.Health.EjectedUntil;
+         !Of.Report.Draining && Of.SupersededEnds.empty() &&
+         Now >= Of.Health.EjectedUntil;
 }
 
 PlaceForecast Dispatcher::places(const std::string &Service,
@@ -85,7 +86,7 @@
     if (Key > Own)
       break;
     const Job &Ahead = Jobs.at(Key.Job);
-    if (Ahead.Request.Policy.Service == Service)
+    if (Ahead.Placeable && Ahead.Request.Policy.Service == Service)
       takePlaces(Places, Ahead);
   }
   return takePlaces(Places, Of);
@@ -132,6 +133,8 @@
   PlaceForecast Places = places(UsualService, UsualNeed, Now);
   for (const QueueKey &Key : Queue) {
     const Job &Of = Jobs.at(Key.Job);
+    if (!Of.Placeable)
+      continue;
     for (const detail::StepState &Step : Of.Steps)
       Told.WaitingTasks += static_cast<uint32_t>(Step.Waiting);
     takePlaces(Places, Of);
@@ -159,6 +162,8 @@
 
 bool Dispatcher::placeTasks(Job &Of, std::vector<Resources> &TooLarge,
                             Instant Now) {
+  if (Of.Request.Stored && Now >= StoredLease)
+    return false;
   for (std::size_t Step = 0; Step < Of.Steps.size(); ++Step) {
     detail::StepState &State = Of.Steps[Step];
     if (State.Waiting == 0 || !detail::ready(Of, Step))
@@ -254,9 +259,11 @@
     Queue.insert(keyOf(Of));
   Run Added;
   Added.Number = ++Task.LastRun;
+  Task.LastOrdered = Added.Number;
   Added.Need = Of.Request.Steps[Step].Need;
   Added.Estimate = std::chrono::milliseconds(Of.Request.Steps[Step].EstimateMs);
   Added.Ordered = Now;
+  Added.Stored = Of.Request.Stored;
   On.Used = On.Used + Added.Need;
   LiveRuns[Id] = On.Report.Id;
   sendStart(On, Id, On.Runs[Id] = Added, Now);
--- a/src/dispatch/internal/dispatcherruns.cpp
+++ b/src/dispatch/internal/dispatcherruns.cpp
@@ -1,6 +1,7 @@
 #include "dispatch/dispatcher.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace sapphiremoor {
 
@@ -49,6 +50,7 @@
                            Instant Now) {
   ++Of.Sends;
   const auto Found = Jobs.find(Task.Job);
+  On.LeaseGiven = Now;
   Effects.emplace_back(StartOrder{target(On), Task, Of.Number,
                                   Found->second.Spec,
                                   On.Clock.grant(Now, Limits.Lease)});
@@ -66,7 +68,7 @@
 void Dispatcher::sendHold(Backend &On, Instant Now) {
   if (On.HoldOpen)
     return;
-  HoldOrder Order{target(On), {}, On.ConfirmedEnds, 0};
+  HoldOrder Order{target(On), {}, On.confirmableEnds(), 0};
   if (On.Mode == OwnerMode::Probing) {
     // Without a token it changes nothing and is refused by an owned one.
     Order.To.FencingToken = 0;
@@ -75,7 +77,8 @@
   // While answers are missing the lease is not extended: it has to end, so that
   // what runs there can be started elsewhere.
   if (On.Mode == OwnerMode::Owned && !On.Runs.empty() && On.Clock.known() &&
-      !On.Suspect) {
+      !On.Suspect && !holdsRevoked(On, Now)) {
+    On.LeaseGiven = Now;
     Order.LeaseEndMs = On.Clock.grant(Now, Limits.Lease);
     Order.WaitMs =
         std::chrono::duration_cast<std::chrono::milliseconds>(Limits.HoldWait)
@@ -220,9 +223,9 @@
   On->Suspect = false;
   On->Clock.observe(List.ClockMs, Now);
   for (const EndedRun &Ended : List.Ended) {
-    if (Ended.Number <= On->ConfirmedEnds)
+    if (Ended.Number <= On->SeenEnds)
       continue;
-    On->ConfirmedEnds = Ended.Number;
+    On->SeenEnds = Ended.Number;
     runEnded(*On, Ended, Now);
   }
   checkListed(*On, List, Sent, Now);
@@ -236,7 +239,10 @@
   schedule(Now);
   On->NextHold = Now + (On->Mode == OwnerMode::Owned ? Limits.IdleHold
                                                      : Limits.TakeoverPoll);
-  if (On->Mode == OwnerMode::Owned && !On->Runs.empty())
+  // Ends that are not confirmed are listed at once again.
+  if (!On->UnstoredEnds.empty())
+    On->NextHold = Now + Limits.TakeoverPoll;
+  else if (On->Mode == OwnerMode::Owned && !On->Runs.empty())
     sendHold(*On, Now);
 }
 
@@ -269,8 +275,10 @@
 
 void Dispatcher::runEnded(Backend &On, const EndedRun &Ended, Instant Now) {
   const auto Found = On.Runs.find(Ended.Task);
-  if (Found == On.Runs.end() || Found->second.Number != Ended.Run)
+  if (Found == On.Runs.end() || Found->second.Number != Ended.Run) {
+    reportEnd(On, Ended, false);
     return;
+  }
   const Run Of = takeRun(On, Ended.Task);
   if (Ended.How == RunEnd::Done) {
     learnPace(On, Of, Now);
@@ -281,14 +289,30 @@
   if (Ended.How != RunEnd::Done)
     log(On, Ended.Task, Ended.Run,
         Ended.How == RunEnd::Failed ? "failed" : "interrupted");
-  if (Of.Abandoned)
+  if (Of.Abandoned) {
+    if (Of.Stored)
+      reportEnd(On, Ended, false);
     return;
+  }
   if (Ended.How == RunEnd::Done)
-    taskDone(Ended.Task, Now);
+    taskDone(Ended.Task, Ended.Run, Now);
   else if (Ended.How == RunEnd::Failed)
     taskFailed(Ended.Task, On.Report.Id, Now);
   else
     requeue(Ended.Task, On.Report.Id);
+  if (Of.Stored)
+    reportEnd(On, Ended, true);
+}
+
+void Dispatcher::reportEnd(Backend &On, const EndedRun &Ended, bool Taken) {
+  if (Ended.How != RunEnd::Done && Ended.How != RunEnd::Failed)
+    return;
+  On.UnstoredEnds.insert(Ended.Number);
+  Effects.emplace_back(RunEnded{{On.Report.Id, On.Life, Ended.Number},
+                                Ended.Task,
+                                Ended.Run,
+                                Ended.How,
+                                Taken});
 }
 
 void Dispatcher::runGone(Backend &On, const TaskId &Task, LateOrders Late) {
@@ -400,6 +424,15 @@
   }
 }
 
+void Dispatcher::confirmSuperseded(Backend &On, Instant Now) {
+  if (On.SupersededEnds.empty() || !On.Runs.empty() ||
+      Now < std::max(On.LeaseGiven, On.AcquireSince) + Limits.LeaseOver)
+    return;
+  for (const uint64_t Number : std::exchange(On.SupersededEnds, {}))
+    On.UnstoredEnds.erase(Number);
+  On.NextHold = Now;
+}
+
 double Dispatcher::paceOf(const Backend &Of) const {
   if (Of.Report.Labels.empty())
     return 1;
--- a/src/dispatch/internal/jobstate.h
+++ b/src/dispatch/internal/jobstate.h
@@ -1,12 +1,16 @@
 #ifndef SAPPHIREMOOR_DISPATCH_INTERNAL_JOBSTATE_H
 #define SAPPHIREMOOR_DISPATCH_INTERNAL_JOBSTATE_H
 
+#include "dispatch/types/backendreport.h"
 #include "dispatch/types/dispatcheffect.h"
 #include "dispatch/types/jobsubmission.h"
+#include "dispatch/types/taskid.h"
 #include "framework/core/time.h"
 
 #include <memory>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace sapphiremoor::detail {
@@ -16,6 +20,9 @@
 struct TaskState {
   TaskPhase Phase = TaskPhase::Waiting;
   uint64_t LastRun = 0;
+  /// The last run that this dispatcher started.
+  uint64_t LastOrdered = 0;
+  uint64_t DoneRun = 0;
   uint32_t Failures = 0;
   /// The backend server where the last run did not end well.
   std::string Avoid;
@@ -42,8 +49,18 @@
   Instant Objective;
   Duration Chain{0};
   bool Started = false;
+  /// Some backend server of this dispatcher could run each step. A job without
+  /// such servers takes no place in forecasts.
+  bool Placeable = true;
+  /// Failed runs of a former owner that were counted: each may be told again.
+  std::set<std::pair<TaskId, uint64_t>> ForeignFailures;
 };
 
+/// Returns true if the backend server has the service, the label and the size
+/// that a task of \p Step needs.
+bool couldRun(const BackendReport &At, const std::string &Service,
+              const StepRequest &Step);
+
 /// Returns the longest chain of estimates through the steps.
 Duration longestChain(const std::vector<StepRequest> &Steps);
 
@@ -55,8 +72,16 @@
 bool wellFormed(const std::vector<StepRequest> &Steps);
 
 /// Builds the state of a job that arrives \p Now.
-JobState makeJob(const JobSubmission &Request, const JobSource &From,
-                 uint64_t Arrival, Instant Now);
+JobState makeJob(const JobSubmission &Request, uint64_t Arrival, Instant Now);
+
+/// Brings a new job to where it stood.
+void applyProgress(JobState &Of, const JobProgress &Progress);
+
+/// Returns how far a job has come.
+JobProgress progressOf(const JobState &Of);
+
+/// Returns true if every task is done.
+bool complete(const JobState &Of);
 
 } // namespace sapphiremoor::detail
 
--- a/src/dispatch/tests/fakebackends.cpp
+++ b/src/dispatch/tests/fakebackends.cpp
@@ -23,7 +23,7 @@
                         int64_t EstimateMs, int64_t MilliCores) {
   JobSubmission Made;
   Made.Id = Id;
-  Made.Policy = {"stamp", 0, 3, 1.6, 1000};
+  Made.Policy = {"q", "stamp", 0, 3, 1.6, 1000};
   Made.DeadlineMs = 5000;
   StepRequest Only;
   Only.Count = Tasks;
--- a/src/dispatch/types/dispatcheffect.h
+++ b/src/dispatch/types/dispatcheffect.h
@@ -2,6 +2,8 @@
 #define SAPPHIREMOOR_DISPATCH_TYPES_DISPATCHEFFECT_H
 
 #include "dispatch/types/control.h"
+#include "dispatch/types/jobsubmission.h"
+#include "dispatch/types/storedjob.h"
 #include "framework/core/time.h"
 
 #include <cstdint>
@@ -30,6 +32,8 @@
   NotRun,
   /// Tasks were started and then given up; the job may be sent again.
   GivenUp,
+  /// The job is stored and will run.
+  Accepted,
 };
 
 /// Why a job ended as it did.
@@ -98,9 +102,44 @@
   std::size_t Usable = 0;
 };
 
+/// Stores a job that was admitted; Dispatcher::runStored() follows.
+struct StoreJob {
+  JobSubmission Job;
+  JobSource From;
+};
+
+/// Stores how far a stored job has come.
+struct JobProgressed {
+  std::string Job;
+  JobProgress Progress;
+};
+
+/// One end in the list of a backend server.
+struct EndReference {
+  std::string Backend;
+  uint64_t Life = 0;
+  uint64_t Number = 0;
+
+  auto operator<=>(const EndReference &) const = default;
+};
+
+/// A run of a stored job, or of one that is not known here, has ended. The end
+/// is not confirmed to the backend server before Dispatcher::endStored(), since
+/// a confirmed end must never be forgotten.
+struct RunEnded {
+  EndReference At;
+  TaskId Task;
+  uint64_t Run = 0;
+  RunEnd How = RunEnd::Other;
+  /// The dispatcher has acted on it; what it stored of the job has to become
+  /// durable. Otherwise the VM that runs the job has to be told.
+  bool Taken = false;
+};
+
 using DispatchEffect =
     std::variant<StartOrder, StopOrder, HoldOrder, JobAnswer, OwnershipChanged,
-                 RunDecided, AdmissionDecided>;
+                 RunDecided, AdmissionDecided, StoreJob, JobProgressed,
+                 RunEnded>;
 
 } // namespace sapphiremoor
 
--- a/src/dispatch/types/dispatchlimits.h
+++ b/src/dispatch/types/dispatchlimits.h
@@ -12,6 +12,9 @@
   /// Length of the lease that each order grants. What runs on a backend server
   /// that is out of reach can be started elsewhere after this time.
   Duration Lease = std::chrono::milliseconds(600);
+  /// Time after which a lease that nobody extends has certainly expired: the
+  /// longest one that backend servers grant, with a margin for their clocks.
+  Duration LeaseOver = std::chrono::milliseconds(1200);
   /// Longest wait of a hold order for an end; a third of the lease, so that one
   /// lost answer does not let the lease expire.
   Duration HoldWait = std::chrono::milliseconds(200);
@@ -29,6 +32,11 @@
   /// backend servers, with a margin on both ends.
   Duration EarliestLate = std::chrono::milliseconds(1900);
   Duration LatestLate = std::chrono::milliseconds(13500);
+  /// A stored job that would have to wait for this many times its latency
+  /// objective is refused; a caller gets nothing for one that is later.
+  int StoredPatience = 3;
+  /// Jobs that a dispatcher keeps open, for its memory.
+  std::size_t MostJobs = 20000;
   /// Pause before a stop order is sent again.
   Duration StopRetry = std::chrono::milliseconds(150);
   /// Failed runs in a row after which a backend server gets no work for a
--- a/src/dispatch/types/jobsubmission.h
+++ b/src/dispatch/types/jobsubmission.h
@@ -12,6 +12,8 @@
 
 /// What the configuration says of the queue that a job came in by.
 struct QueuePolicy {
+  /// Name of the queue.
+  std::string Queue;
   /// Only backend servers of this service may run the tasks.
   std::string Service;
   /// 0 is the most urgent.
@@ -26,7 +28,7 @@
   auto operator<=>(const QueuePolicy &) const = default;
 
   template <typename Archive> void serialize(Archive &Ar) {
-    Ar(Service, Priority, Attempts, Stretch, SlackMs);
+    Ar(Queue, Service, Priority, Attempts, Stretch, SlackMs);
   }
 };
 
@@ -53,10 +55,13 @@
   }
 };
 
-/// A job whose caller waits for its end. It is kept in memory only: after a
-/// lost answer it may run again from its start.
+/// A job as its caller sent it.
 struct JobSubmission {
   std::string Id;
+  /// The job is answered once it is stored, and then runs whatever fails. The
+  /// caller of another one waits for its end; it is kept in memory only, and
+  /// after a lost answer it may run again from its start.
+  bool Stored = false;
   QueuePolicy Policy;
   /// Payload that each start of a task carries.
   std::string Spec;
@@ -67,7 +72,7 @@
   auto operator<=>(const JobSubmission &) const = default;
 
   template <typename Archive> void serialize(Archive &Ar) {
-    Ar(Id, Policy, Spec, Steps, DeadlineMs);
+    Ar(Id, Stored, Policy, Spec, Steps, DeadlineMs);
   }
 };
 
--- a/src/framework/eventlog/event.h
+++ b/src/framework/eventlog/event.h
@@ -42,6 +42,10 @@
 inline constexpr Event JobAnswered{406, Level::Info, "job_answered"};
 inline constexpr Event LinesDropped{407, Level::Warning, "lines_dropped"};
 inline constexpr Event AdmissionRefused{408, Level::Info, "admission_refused"};
+inline constexpr Event JobStored{409, Level::Info, "job_stored"};
+inline constexpr Event StoredJobEnded{410, Level::Info, "stored_job_ended"};
+inline constexpr Event JobsTakenOver{411, Level::Warning, "jobs_taken_over"};
+inline constexpr Event JobsHandedOver{412, Level::Warning, "jobs_handed_over"};
 inline constexpr Event LeaderElected{500, Level::Info, "leader_elected"};
 inline constexpr Event ChangeAccepted{501, Level::Info, "change_accepted"};
 inline constexpr Event ChangeInForce{502, Level::Info, "change_in_force"};
@@ -50,6 +54,7 @@
 inline constexpr Event ChunkRejected{505, Level::Warning, "chunk_rejected"};
 inline constexpr Event VotersChanging{506, Level::Info, "voters_changing"};
 inline constexpr Event ChangeRefused{507, Level::Warning, "change_refused"};
+inline constexpr Event JobsRecovered{508, Level::Info, "jobs_recovered"};
 inline constexpr Event ReadinessChanged{600, Level::Info, "readiness_changed"};
 inline constexpr Event SettingsReloaded{601, Level::Info, "settings_reloaded"};
 } // namespace events
--- a/src/framework/eventlog/internal/eventlog.cpp
+++ b/src/framework/eventlog/internal/eventlog.cpp
@@ -48,11 +48,14 @@
     events::RequestRejected,  events::JobDispatched,
     events::RunDecided,       events::JobAnswered,
     events::LinesDropped,     events::AdmissionRefused,
+    events::JobStored,        events::StoredJobEnded,
+    events::JobsTakenOver,    events::JobsHandedOver,
     events::LeaderElected,    events::ChangeAccepted,
     events::ChangeInForce,    events::StorageFailed,
     events::LogRecovered,     events::ChunkRejected,
     events::VotersChanging,   events::ChangeRefused,
-    events::ReadinessChanged, events::SettingsReloaded};
+    events::JobsRecovered,    events::ReadinessChanged,
+    events::SettingsReloaded};
 
 } // namespace
 
--- /dev/null
+++ b/src/jobstore/tests/jobstorenetwork.h
@@ -0,0 +1,95 @@
+#ifndef SAPPHIREMOOR_JOBSTORE_TESTS_JOBSTORENETWORK_H
+#define SAPPHIREMOOR_JOBSTORE_TESTS_JOBSTORENETWORK_H
+
+#include "framework/core/random.h"
+#include "jobstore/jobcopy.h"
+#include "jobstore/jobwriter.h"
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace sapphiremoor {
+
+/// VMs that store jobs, on one simulated clock, with messages that are lost or
+/// overtake each other, and disks that lose what was not synced. It notes each
+/// broken promise: a durable state that is forgotten, and a job that two VMs
+/// may run at the same time.
+class JobStoreNetwork {
+public:
+  JobStoreNetwork(std::size_t Count, uint64_t Seed);
+
+  void run(Duration Time);
+  void submit(const std::string &At, const std::string &Id);
+  /// Ends one more task of a job that runs there.
+  void work(const std::string &At);
+  void crash(const std::string &Name, bool Wipe);
+  void restart(const std::string &Name);
+  void cut(const std::string &Name, bool Cut) { Vms.at(Name).Cut = Cut; }
+
+  bool down(const std::string &Name) const {
+    return Vms.at(Name).Copy == nullptr;
+  }
+  bool whole(const std::string &Name) const {
+    return !down(Name) && !Vms.at(Name).Copy->rebuilding();
+  }
+  /// Jobs that the VM may run now.
+  std::vector<std::string> running(const std::string &Name) const;
+  /// Tasks of a job that were said to be durably done.
+  std::size_t durableTasks(const std::string &Id) const;
+  std::size_t storedJobs() const { return Durable.size(); }
+  /// Jobs that are stored and not run by anybody.
+  std::size_t idleJobs() const;
+
+  const std::vector<std::string> &names() const { return Names; }
+
+  /// Share of messages that are lost.
+  double Loss = 0;
+  std::vector<std::string> Violations;
+  Instant Now = instantAt(std::chrono::seconds(100));
+
+private:
+  struct Vm {
+    std::unique_ptr<JobCopy> Copy;
+    std::unique_ptr<JobWriter> Writer;
+    CopyState Disk;
+    std::vector<AppendEntry> Unsynced;
+    std::map<std::string, JobProgress> Running;
+    std::map<std::string, Instant> GoneSince;
+    bool Cut = false;
+    Instant DownSince;
+  };
+  struct InFlight {
+    std::string From;
+    std::string To;
+    uint64_t Life = 0;
+    JobStoreMessage Message;
+  };
+
+  void start(const std::string &Name, bool First);
+  void step();
+  void collect(const std::string &Name);
+  void apply(const std::string &Name, const JobStored &Effect);
+  void apply(const std::string &Name, const ProgressStored &Effect);
+  void considerClaims(const std::string &Name);
+  void deliver(const InFlight &Taken);
+  void sync(const std::string &Name);
+  bool reachable(const std::string &From, const std::string &To) const;
+
+  Random Rng;
+  std::vector<std::string> Names;
+  std::map<std::string, Vm> Vms;
+  std::map<std::string, uint64_t> Lives;
+  std::multimap<Instant, InFlight> Messages;
+  VoterSet Voters;
+  /// The newest state of each job that was said to be durable, by tasks done.
+  std::map<std::string, std::size_t> Durable;
+  /// Tasks done at each version that a writer gave out.
+  std::map<std::pair<std::string, uint64_t>, std::size_t> TasksAt;
+};
+
+} // namespace sapphiremoor
+
+#endif // SAPPHIREMOOR_JOBSTORE_TESTS_JOBSTORENETWORK_H
--- /dev/null
+++ b/src/jobstore/types/jobrecord.h
@@ -0,0 +1,45 @@
+#ifndef SAPPHIREMOOR_JOBSTORE_TYPES_JOBRECORD_H
+#define SAPPHIREMOOR_JOBSTORE_TYPES_JOBRECORD_H
+
+#include "dispatch/types/jobsubmission.h"
+#include "dispatch/types/storedjob.h"
+#include "versionregister/types/ballot.h"
+
+#include <compare>
+#include <cstdint>
+#include <string>
+
+namespace sapphiremoor {
+
+/// A stored job as one VM keeps it.
+struct JobRecord {
+  JobSubmission Submission;
+  JobProgress Progress;
+  /// Rises with each change by one writer.
+  uint64_t Version = 0;
+  /// The partition that the job belongs to, for good.
+  std::string Partition;
+  /// Ballot of the writer that stored this state.
+  Ballot Of;
+  /// A majority was known to have the job, so no other partition can get it.
+  bool Established = false;
+
+  auto operator<=>(const JobRecord &) const = default;
+
+  template <typename Archive> void serialize(Archive &Ar) {
+    Ar(Submission, Progress, Version, Partition, Of, Established);
+  }
+};
+
+/// Returns true if \p B has to replace \p A. Two VMs that store one job at the
+/// same time may leave it in two partitions; an established one is the right
+/// one.
+inline bool olderThan(const JobRecord &A, const JobRecord &B) {
+  if (A.Partition != B.Partition)
+    return B.Established && !A.Established;
+  return A.Of != B.Of ? A.Of < B.Of : A.Version < B.Version;
+}
+
+} // namespace sapphiremoor
+
+#endif // SAPPHIREMOOR_JOBSTORE_TYPES_JOBRECORD_H
--- a/src/routing/types/queueroute.h
+++ b/src/routing/types/queueroute.h
@@ -16,6 +16,9 @@
   /// Longest time that a request may take.
   int64_t TimeoutMs = 0;
   QueuePolicy Policy;
+  /// Only some backend servers may run a step, and an adviser outside the
+  /// deployment knows which.
+  bool NeedsAdvice = false;
 
   auto operator<=>(const QueueRoute &) const = default;
 };
