--- a/src/cluster/internal/jobstoreservice.cpp
+++ b/src/cluster/internal/jobstoreservice.cpp
@@ -501,20 +501,14 @@
 
 void JobStoreService::considerTakeovers() {
   const Instant Now = Loop.now();
-  // Partitions in which all jobs have ended need a writer too: only it can say
-  // so for sure.
-  std::set<std::string> Known;
-  for (const auto &[Id, Each] : Copy->jobs())
-    Known.insert(Each.Partition);
-  std::erase_if(GoneSince, [&Known](const auto &Each) {
-    return !Known.contains(Each.first);
-  });
   // A claim without a majority would only raise the ballot that the writer has
   // to beat.
   if (!majorityReachable())
     return;
   const std::vector<MemberInfo> Live = Bus.liveControls();
-  for (const std::string &Partition : Known) {
+  // Partitions in which all jobs have ended need a writer too: only it can say
+  // so for sure.
+  for (const auto &[Partition, Promised] : Copy->partitions()) {
     if (Writer.writes(Partition) || liveVm(writerOf(Partition))) {
       GoneSince.erase(Partition);
       continue;
@@ -531,7 +525,7 @@
       continue;
     logEvent(events::JobsTakenOver, {{"partition", Partition},
                                      {"former_writer", writerOf(Partition)}});
-    Writer.claim(Partition, Copy->promised(Partition), Now);
+    Writer.claim(Partition, Promised, Now);
   }
 }
 
--- a/src/dispatch/tests/fakebackends.cpp
+++ b/src/dispatch/tests/fakebackends.cpp
@@ -13,6 +13,9 @@
 constexpr Duration StopTime = std::chrono::milliseconds(20);
 constexpr int64_t LongestLeaseMs = 1000;
 
+/// Two synced writes and the way of the messages.
+constexpr Duration StoreTime = std::chrono::milliseconds(15);
+
 int64_t millisecondsOf(Duration Of) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(Of).count();
 }
@@ -90,6 +93,8 @@
     for (auto &[Name, Of] : Owners) {
       if (Of.Frozen)
         continue;
+      Of.Decisions->storedUntil(
+          StoreRights.contains(Name) ? Now + std::chrono::seconds(1) : Now);
       Of.Decisions->tick(Now);
       collect(Name);
     }
@@ -160,6 +165,12 @@
       perform(Name, *Stop);
     else if (const auto *Hold = std::get_if<HoldOrder>(&Effect))
       perform(Name, *Hold);
+    else if (const auto *Store = std::get_if<StoreJob>(&Effect))
+      perform(Name, *Store);
+    else if (const auto *Progress = std::get_if<JobProgressed>(&Effect))
+      perform(Name, *Progress);
+    else if (const auto *Ended = std::get_if<RunEnded>(&Effect))
+      perform(Name, *Ended);
     else if (const auto *Answer = std::get_if<JobAnswer>(&Effect)) {
       Answers.push_back(*Answer);
       if (Answer->Result == JobResult::NotRun && StartedTasks[Answer->Job] > 0)
@@ -205,6 +216,57 @@
   collect(Name);
 }
 
+void FakeBackends::perform(const std::string &Name, const StoreJob &Effect) {
+  at(Now + StoreTime, [this, Name, Effect] {
+    Stored[Effect.Job.Id] = {};
+    Answers.push_back({Effect.From,
+                       Effect.Job.Id,
+                       JobResult::Accepted,
+                       JobReason::None,
+                       0,
+                       {}});
+    dispatcher(Name).runStored(Effect.Job, {}, Now);
+    collect(Name);
+  });
+}
+
+void FakeBackends::perform(const std::string &Name,
+                           const JobProgressed &Effect) {
+  if (!StoreRights.contains(Name))
+    return;
+  at(Now + StoreTime, [this, Effect] { Stored[Effect.Job] = Effect.Progress; });
+}
+
+void FakeBackends::perform(const std::string &Name, const RunEnded &Effect) {
+  // What no dispatcher with the right takes stays open.
+  at(Now + StoreTime, [this, Name, Effect] {
+    bool Superseded = false;
+    bool Taken = Effect.Taken && StoreRights.contains(Name);
+    for (auto &[Other, Of] : Owners) {
+      if (Taken || !StoreRights.contains(Other))
+        continue;
+      const auto Meaning =
+          Of.Decisions->foreignEnded(Effect.Task, Effect.Run, Effect.How, Now);
+      Taken = Meaning.has_value();
+      Superseded = Taken && *Meaning == ForeignEnd::Superseded;
+      collect(Other);
+    }
+    if (Taken)
+      dispatcher(Name).endStored(Effect.At, Superseded, Now);
+    else
+      perform(Name, Effect);
+    collect(Name);
+  });
+}
+
+void FakeBackends::handOver(const std::string &Job, const std::string &From,
+                            const std::string &To) {
+  dispatcher(From).dropStored(Job, Now);
+  collect(From);
+  dispatcher(To).runStored(Jobs.at(Job), Stored.at(Job), Now);
+  collect(To);
+}
+
 void FakeBackends::perform(const std::string &Name, const StartOrder &Order) {
   carry(
       Name, Order.To,
@@ -275,6 +337,9 @@
     return {StartAnswerKind::OldRun, Clock};
   const JobSubmission &Job = Jobs.at(Order.Task.Job);
   const StepRequest &Shape = Job.Steps[Order.Task.Step];
+  if (const auto Kept = Confirmed.find(Order.Task);
+      Job.Stored && Kept != Confirmed.end() && Kept->second == RunEnd::Done)
+    Violations.push_back("ran again after its end: " + Order.Task.Job);
   for (const auto &[Id, Other] : Servers)
     if (Other.Runs.contains(Order.Task))
       Violations.push_back("two runs of one task of " + Order.Task.Job);
@@ -315,6 +380,9 @@
   if (Order.LeaseEndMs)
     At.LeaseEndMs = std::max(
         At.LeaseEndMs, std::min(*Order.LeaseEndMs, clock(At) + LongestLeaseMs));
+  for (const EndedRun &Each : At.Ended)
+    if (Each.Number <= Order.ConfirmedEnds && At.LeaseEndMs >= clock(At))
+      Confirmed[Each.Task] = Each.How;
   std::erase_if(At.Ended, [&Order](const EndedRun &Each) {
     return Each.Number <= Order.ConfirmedEnds;
   });
--- a/src/dispatch/tests/fakebackends.h
+++ b/src/dispatch/tests/fakebackends.h
@@ -33,6 +33,9 @@
   void probe(const std::string &Backend, const std::string &Owner);
 
   void submit(const std::string &At, const JobSubmission &Job);
+  /// Lets \p To run a stored job that \p From ran.
+  void handOver(const std::string &Job, const std::string &From,
+                const std::string &To);
   void run(Duration Time);
 
   /// Ends all runs and forgets everything; the id and the address stay.
@@ -59,6 +62,13 @@
   /// All runs there fail, stand still, or take so many times their work.
   std::map<std::string, double> FailShare;
   std::map<std::string, double> Slowness;
+  /// Dispatchers that have the right to run stored jobs, and take over those of
+  /// others.
+  std::set<std::string> StoreRights;
+  /// What is stored of each job that has to be stored.
+  std::map<std::string, JobProgress> Stored;
+  /// Ends that were confirmed to backend servers, by task.
+  std::map<TaskId, RunEnd> Confirmed;
   /// Orders that are sent there from now on are lost; earlier ones may arrive.
   std::set<std::string> CutOff;
   std::vector<std::string> Violations;
@@ -101,6 +111,9 @@
   void perform(const std::string &Name, const StartOrder &Order);
   void perform(const std::string &Name, const StopOrder &Order);
   void perform(const std::string &Name, const HoldOrder &Order);
+  void perform(const std::string &Name, const StoreJob &Effect);
+  void perform(const std::string &Name, const JobProgressed &Effect);
+  void perform(const std::string &Name, const RunEnded &Effect);
   /// Carries one order to its backend server with the usual losses.
   void
   carry(const std::string &Name, const ControlTarget &To,
--- a/src/jobstore/internal/jobcopy.cpp
+++ b/src/jobstore/internal/jobcopy.cpp
@@ -12,6 +12,8 @@
 /// Time for which callers can ask for ended jobs, with a margin.
 constexpr Duration EndedKept = std::chrono::seconds(130);
 
+constexpr Duration ForgetPeriod = std::chrono::seconds(1);
+
 constexpr std::size_t JobsPerPage = 200;
 constexpr Duration PageRetry = std::chrono::milliseconds(400);
 
@@ -165,7 +167,9 @@
     for (const JobWrite &Each : Request.Jobs)
       writeOne(Request.Under, Each, Reply, Now);
   }
-  if (State.Standing.Whole)
+  // A VM that is no voter answers too, so that its copy gets all writes; only
+  // voters are counted.
+  if (!rebuilding())
     sendDurable(From, std::move(Reply));
 }
 
@@ -291,6 +295,9 @@
 void JobCopy::tick(Instant Now) {
   if (rebuilding())
     askPages(Now);
+  if (Now < NextForget)
+    return;
+  NextForget = Now + ForgetPeriod;
   if (!std::exchange(Scanned, true))
     for (const auto &[Id, Each] : State.Jobs)
       if (ended(Each))
--- a/src/jobstore/internal/jobwriter.cpp
+++ b/src/jobstore/internal/jobwriter.cpp
@@ -21,6 +21,13 @@
 
 bool ended(const JobProgress &Of) { return Of.Outcome != StoredOutcome::Open; }
 
+/// The state that a job is created with names no tasks.
+void addMissingTasks(const JobSubmission &Job, JobProgress &Of) {
+  Of.Steps.resize(Job.Steps.size());
+  for (std::size_t Step = 0; Step < Job.Steps.size(); ++Step)
+    Of.Steps[Step].resize(Job.Steps[Step].Count);
+}
+
 } // namespace
 
 std::string openerOf(const std::string &Partition) {
@@ -309,6 +316,8 @@
     OwnJob &Added = Jobs.insert_or_assign(Id, OwnJob{}).first->second;
     Added.Submission = Record.Submission;
     Added.Progress = Record.Progress;
+    if (!ended(Added.Progress))
+      addMissingTasks(Added.Submission, Added.Progress);
     for (std::vector<TaskProgress> &Step : Added.Progress.Steps)
       for (TaskProgress &Task : Step)
         Task.LastRun += RunNumberGap;
--- a/src/jobstore/jobcopy.h
+++ b/src/jobstore/jobcopy.h
@@ -45,6 +45,10 @@
   /// Returns the promised ballot of a partition; the lowest one if there is
   /// none.
   Ballot promised(const std::string &Partition) const;
+  /// All partitions that were met, with their promised ballots.
+  const std::map<std::string, Ballot> &partitions() const {
+    return State.Promises;
+  }
   /// True while this VM is a voter without a whole copy.
   bool rebuilding() const;
   const CopyState &state() const { return State; }
@@ -85,6 +89,7 @@
   Instant NextAsk;
   /// When ended jobs were first seen as such.
   std::map<std::string, Instant> EndedSince;
+  Instant NextForget;
   /// Ended jobs of an earlier process were noted.
   bool Scanned = false;
   uint64_t LastAppend = 0;
--- a/src/jobstore/tests/jobstore_test.cpp
+++ b/src/jobstore/tests/jobstore_test.cpp
@@ -57,6 +57,23 @@
   CHECK(World.Violations.empty());
 }
 
+// Guards against run numbers of the former writer that are given out again, and
+// against ends of its runs that find no task.
+TEST_CASE("a job that is taken over before its first end has numbered tasks") {
+  JobStoreNetwork World(3, 5);
+  World.submit(nameOf(0), "j1");
+  World.run(milliseconds(300));
+  World.crash(nameOf(0), false);
+  World.run(seconds(6));
+  const std::string Taker =
+      World.running(nameOf(1)).empty() ? nameOf(2) : nameOf(1);
+  REQUIRE(World.running(Taker).size() == 1);
+  const JobProgress &Known = World.progress(Taker, "j1");
+  REQUIRE(Known.Steps.size() == 1);
+  REQUIRE(Known.Steps.front().size() == 6);
+  CHECK(Known.Steps.front().front().LastRun > 0);
+}
+
 // Guards against jobs that are lost when all VMs lose power at once.
 TEST_CASE("stored jobs outlive the loss of all processes") {
   JobStoreNetwork World(3, 3);
--- a/src/jobstore/tests/jobstorenetwork.h
+++ b/src/jobstore/tests/jobstorenetwork.h
@@ -37,6 +37,11 @@
   }
   /// Jobs that the VM may run now.
   std::vector<std::string> running(const std::string &Name) const;
+  /// State of a job that the VM runs.
+  const JobProgress &progress(const std::string &Name,
+                              const std::string &Id) const {
+    return Vms.at(Name).Running.at(Id);
+  }
   /// Tasks of a job that were said to be durably done.
   std::size_t durableTasks(const std::string &Id) const;
   std::size_t storedJobs() const { return Durable.size(); }
