Send stored jobs in the fault soak

Cause: the soak sent jobs without a store only.

Change: each fourth job has to be stored; its caller follows it to its end. The ledger checks that an accepted job stays known, ends, never goes back from its end, and that no task is started again after its end was confirmed within the lease.

--- a/tests/soak/ledger.cpp
+++ b/tests/soak/ledger.cpp
@@ -19,8 +19,27 @@
 
 } // namespace
 
-void Ledger::submitted(const std::string &Job, unsigned Tasks) {
+void Ledger::submitted(const std::string &Job, unsigned Tasks, bool Stored) {
   Jobs[Job].Tasks = Tasks;
+  Jobs[Job].Stored = Stored;
+}
+
+bool Ledger::stateTold(const std::string &Job, const std::string &State) {
+  JobRecord &Of = Jobs[Job];
+  if (State.empty())
+    broken("an accepted job is not known: " + Job);
+  if (State == "done" && Of.TasksDone.size() != Of.Tasks)
+    broken("said done with tasks that are not: " + Job);
+  if (Of.Ended && State != "done" && State != "failed")
+    broken("an ended job is " + State + ": " + Job);
+  Of.Ended |= State == "done" || State == "failed";
+  return Of.Ended;
+}
+
+void Ledger::checkAccepted() {
+  for (const auto &[Job, Of] : Jobs)
+    if (Of.Accepted && !Of.Ended)
+      broken("an accepted job has not ended: " + Job);
 }
 
 void Ledger::started(const std::string &Backend, const std::string &Task) {
@@ -30,6 +49,8 @@
     return;
   }
   Job->second.Started = true;
+  if (Job->second.Stored && Confirmed.contains(Task))
+    broken("started again after its end was confirmed: " + Task);
   const auto [Place, New] = Running.emplace(Task, Backend);
   if (!New)
     broken("two runs of " + Task + " on " + Place->second + " and " + Backend);
@@ -53,7 +74,9 @@
   constexpr int Ok = 200;
   constexpr int NotRun = 503;
   JobRecord &Of = Jobs[Job];
-  if (Status == Ok && Body.find("done") != std::string::npos) {
+  if (Status == Ok && Of.Stored) {
+    Of.Accepted = true;
+  } else if (Status == Ok && Body.find("done") != std::string::npos) {
     ++Done;
     if (Of.TasksDone.size() != Of.Tasks)
       broken("said done with tasks that are not: " + Job);
--- a/tests/soak/ledger.h
+++ b/tests/soak/ledger.h
@@ -13,11 +13,19 @@
 /// promise that was broken.
 class Ledger {
 public:
-  /// A job was sent for the first time.
-  void submitted(const std::string &Job, unsigned Tasks);
+  /// A job was sent for the first time. A \p Stored one may be forgotten by its
+  /// caller once it is accepted.
+  void submitted(const std::string &Job, unsigned Tasks, bool Stored);
   /// A backend server began a run; false if that broke a promise.
   void started(const std::string &Backend, const std::string &Task);
   void ended(const std::string &Backend, const std::string &Task, bool Done);
+  /// A run that was done was confirmed before its lease had expired.
+  void confirmed(const std::string &Task) { Confirmed.insert(Task); }
+  /// A caller asked for an accepted job and was told \p State, or that it is
+  /// not known. Returns true if the job has ended.
+  bool stateTold(const std::string &Job, const std::string &State);
+  /// Accepted jobs have to have ended by now.
+  void checkAccepted();
   /// A backend server holds more than its capacity.
   void overfilled(const std::string &Backend);
 
@@ -44,11 +52,15 @@
     bool Started = false;
     /// Some attempt was not answered with a refusal.
     bool Open = false;
+    bool Stored = false;
+    bool Accepted = false;
+    bool Ended = false;
   };
 
   std::map<std::string, JobRecord> Jobs;
   /// Where each task runs.
   std::map<std::string, std::string> Running;
+  std::set<std::string> Confirmed;
   std::map<uint64_t, std::string> Acknowledged;
   uint64_t Newest = 0;
   uint64_t Done = 0;
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -22,7 +22,12 @@
 constexpr Duration AnswerLimit = std::chrono::milliseconds(DeadlineMs + 700);
 /// Callers send a job again this long after an answer that tells nothing.
 constexpr Duration ResendPause = std::chrono::milliseconds(1300);
+/// Every so many jobs one has to be stored.
+constexpr uint64_t StoredEvery = 4;
+constexpr Duration AskPause = std::chrono::milliseconds(400);
 constexpr Duration OrderTimeout = std::chrono::milliseconds(1500);
+/// Time in which accepted jobs end after the last job was sent.
+constexpr Duration StoredJobsEnd = std::chrono::seconds(3);
 constexpr Duration RecoveryTime = std::chrono::seconds(5);
 
 sockaddr_in addressOf(const Endpoint &At) {
@@ -147,10 +152,11 @@
   const auto Tasks = static_cast<unsigned>(1 + Rng() % 4);
   const int64_t WorkMs = 30 + static_cast<int64_t>(Rng() % 300);
   const int64_t Cpu = 600 + static_cast<int64_t>(Rng() % 1400);
-  Checked.submitted(Id, Tasks);
+  const bool Stored = NextJob % StoredEvery == 0;
+  Checked.submitted(Id, Tasks, Stored);
   const json Body{
       {"spec", json{{"ms", WorkMs}, {"cpu", Cpu}}.dump()},
-      {"best_effort", true},
+      {"best_effort", !Stored},
       {"steps", {{{"count", Tasks}, {"cpu", Cpu}, {"estimate_ms", WorkMs}}}}};
   sendJob(Id, Body.dump(), 1);
 }
@@ -171,12 +177,33 @@
     if (!Answered && Calm && Loop.now() - Sent >= AnswerLimit)
       Checked.unanswered(Job, To.Name);
     Checked.answered(Job, Answered ? Answer.Code : 0, Answer.Body);
+    if (Answered && Answer.Code == 200 && Answer.Body == "{}")
+      follow(Job);
     const bool Unclear = !Answered || Answer.Code == 502 || Answer.Code == 504;
     if (Unclear && Attempt < MostAttempts && Running)
       after(ResendPause, [=, this] { sendJob(Job, Body, Attempt + 1); });
   });
 }
 
+void Soak::follow(const std::string &Job) {
+  after(AskPause, [this, Job] {
+    HttpCallRequest Request;
+    Request.Method = HttpMethod::Get;
+    Request.Path = "/q/" + Job;
+    Request.Timeout = OrderTimeout;
+    Client.send(pick(false).Http, Request,
+                [this, Job](const HttpCallResult &Answer) {
+                  const bool Told = Answer.Status == HttpCallStatus::Answered &&
+                                    (Answer.Code == 200 || Answer.Code == 410);
+                  const json Body = json::parse(Answer.Body, nullptr, false);
+                  const std::string State =
+                      Told && Body.is_object() ? Body.value("state", "") : "";
+                  if (!Told || !Checked.stateTold(Job, State))
+                    follow(Job);
+                });
+  });
+}
+
 std::string Soak::subnet(bool Control) const {
   return "127." + std::to_string(Options.Network) + (Control ? ".31." : ".32.");
 }
@@ -245,6 +272,7 @@
   ConfigTimer.cancel();
   ReadTimer.cancel();
   Running = false;
+  after(StoredJobsEnd, [this] { Checked.checkAccepted(); });
 }
 
 } // namespace sapphiremoor::soak
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -69,6 +69,8 @@
   void writeSettings(const Node &Of, bool FirstStart) const;
   void submitJob();
   void sendJob(const std::string &Job, const std::string &Body, int Attempt);
+  /// Asks for an accepted job until it has ended.
+  void follow(const std::string &Job);
   void changeConfig();
   void putConfig(Node &At, uint64_t Version, const std::string &Body,
                  int Attempt);
--- a/tests/soak/standincontrolled.cpp
+++ b/tests/soak/standincontrolled.cpp
@@ -182,6 +182,10 @@
 
 void StandinControlled::hold(const json &Order, const Responder &Answer) {
   const uint64_t Confirmed = Order.value("ack_cursor", uint64_t{0});
+  for (const json &Row : Ended)
+    if (Row.at(0).get<uint64_t>() <= Confirmed && Row.at(3) == "done" &&
+        clock() <= LeaseEndMs)
+      Checked.confirmed(Row.at(1).get<std::string>());
   std::erase_if(Ended, [Confirmed](const json &Row) {
     return Row.at(0).get<uint64_t>() <= Confirmed;
   });
