Ask a majority before an unknown end is confirmed; let stored jobs outlive their request

A control VM confirmed the end of a run of a stored job that its own copy lacked: a copy may lack what a majority has. The writer then ran the task again. 2. An entry VM whose caller's deadline had passed ended the stored job.

Ruled out: marking stored jobs in run numbers (the contract counts runs from 1).

Change: an end of an unknown job is confirmed once a majority of the voters' copies has said that it lacks the job; if one has it, its writer is told. Entry VMs end memory jobs only.

--- a/src/cluster/internal/entrynode.cpp
+++ b/src/cluster/internal/entrynode.cpp
@@ -368,7 +368,9 @@
   for (const Ending &Each : Endings) {
     const OpenJob &Job = Open.at(Each.Number);
     const std::string Id = Job.Request.Id;
-    Bus.send(Job.Target.Name, JobQuery{0, Id, true});
+    // A stored job goes on; its caller asks for it later.
+    if (!Job.Request.Stored)
+      Bus.send(Job.Target.Name, JobQuery{0, Id, true});
     finish(
         Each.Number,
         {{Of.Name, Each.Number}, Id, JobResult::GivenUp, Each.Reason, 0, {}});
--- a/src/cluster/internal/jobstoreservice.cpp
+++ b/src/cluster/internal/jobstoreservice.cpp
@@ -26,8 +26,9 @@
 
 constexpr Duration ForeignEndRetry = std::chrono::milliseconds(300);
 
-/// Size of the log from which a snapshot replaces it; a small part of the disk.
-constexpr std::size_t LogLimitBytes = std::size_t{12} << 20;
+/// Size of the log from which a snapshot replaces it. A quarter of the smallest
+/// disk: the log, the old and the new snapshot have to fit.
+constexpr std::size_t LogLimitBytes = std::size_t{32} << 20;
 
 /// Number of storage requests that nobody waits for.
 constexpr uint64_t Unnumbered = 0;
@@ -153,6 +154,11 @@
     endTold(From, *News);
   else if (const auto *Stored = std::get_if<RunEndStored>(&Message))
     endStored(*Stored);
+  else if (const auto *Asked = std::get_if<AskJob>(&Message);
+           Asked != nullptr && !Copy->rebuilding())
+    Bus.send(From.Name, JobStoreMessage(whereabouts(Asked->Job)));
+  else if (const auto *Told = std::get_if<JobWhereabouts>(&Message))
+    whereaboutsTold(Address, *Told);
   Copy->received(Address, Message, Loop.now());
   Writer.received(Address, Message, Loop.now());
   run();
@@ -288,7 +294,7 @@
     const auto [Begin, End] = OnStored.equal_range(Id);
     for (auto Each = Begin; Each != End; ++Each)
       if (Each->second.End)
-        OpenEnds.push_back({*Each->second.End, {}});
+        OpenEnds.push_back({*Each->second.End, {}, {}, {}});
     OnStored.erase(Begin, End);
     Dispatch.dispatcher().dropStored(Id, Loop.now());
   }
@@ -329,11 +335,7 @@
         Effect);
     return;
   }
-  // A job that no whole copy has is not a stored one.
-  if (Copy->find(Effect.Task.Job) == nullptr && !Copy->rebuilding())
-    confirm(Effect.At, false);
-  else
-    OpenEnds.push_back({Effect, {}});
+  OpenEnds.push_back({Effect, {}, {}, {}});
 }
 
 bool JobStoreService::takeEnd(const RunEndNews &News, EndHandler Handler) {
@@ -391,21 +393,58 @@
   Each.NextTry = Now + ForeignEndRetry;
   const RunEnded &Of = Each.Of;
   const JobRecord *Known = Copy->find(Of.Task.Job);
-  if (Known == nullptr) {
-    if (!Copy->rebuilding())
-      confirm(Of.At, false);
-    return !Copy->rebuilding();
+  if (Known == nullptr && Each.Writer.empty()) {
+    askForJob(Each);
+    if (!isMajority(Configuration.voters(), Each.LackedBy))
+      return false;
+    confirm(Of.At, false);
+    return true;
   }
   const RunEndNews News{Of.Task, Of.Run, Of.How};
   if (takeEnd(News,
               [this, At = Of.At](bool Superseded) { confirm(At, Superseded); }))
     return true;
-  if (const auto Vm = liveVm(writerOf(Known->Partition));
-      Vm && *Vm != Bus.self().Name)
+  const std::string Writer = Known == nullptr ? std::exchange(Each.Writer, {})
+                                              : writerOf(Known->Partition);
+  if (const auto Vm = liveVm(Writer); Vm && *Vm != Bus.self().Name)
     Bus.send(*Vm, JobStoreMessage(News));
   return false;
 }
 
+JobWhereabouts JobStoreService::whereabouts(const std::string &Job) const {
+  const JobRecord *Known = Copy->find(Job);
+  if (Known == nullptr)
+    return {Job, false, {}};
+  return {Job, true, writerOf(Known->Partition)};
+}
+
+void JobStoreService::askForJob(OpenEnd &Each) {
+  const std::string &Job = Each.Of.Task.Job;
+  for (const std::string &Voter : Configuration.voters().Voters) {
+    if (Voter == describe(Of.Advertised)) {
+      if (!Copy->rebuilding())
+        Each.LackedBy.insert(Voter);
+      continue;
+    }
+    const MemberInfo *Member = Bus.members().findByAddress(Voter);
+    if (Member != nullptr && Bus.linked(Member->Id.Name))
+      Bus.send(Member->Id.Name, JobStoreMessage(AskJob{Job}));
+  }
+}
+
+void JobStoreService::whereaboutsTold(const std::string &Address,
+                                      const JobWhereabouts &Told) {
+  for (OpenEnd &Each : OpenEnds) {
+    if (Each.Of.Task.Job != Told.Job)
+      continue;
+    if (Told.Known)
+      Each.Writer = Told.Writer;
+    else
+      Each.LackedBy.insert(Address);
+    Each.NextTry = {};
+  }
+}
+
 void JobStoreService::endTold(const VmId &From, const RunEndNews &News) {
   const EndHandler Reply = [this, To = From.Name, Task = News.Task,
                             Run = News.Run](bool Superseded) {
--- a/src/cluster/jobstoreservice.h
+++ b/src/cluster/jobstoreservice.h
@@ -12,6 +12,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -48,6 +49,11 @@
   struct OpenEnd {
     RunEnded Of;
     Instant NextTry;
+    /// Voters whose copies lack the job. A stored job is on a majority, so
+    /// that a majority without it proves that there is none.
+    std::set<std::string> LackedBy;
+    /// Writer of the job as another copy told, if the own one lacks it.
+    std::string Writer;
   };
 
   void run();
@@ -77,6 +83,10 @@
   bool settle(OpenEnd &Each);
   void endTold(const VmId &From, const RunEndNews &News);
   void endStored(const RunEndStored &Stored);
+  /// Asks the other voters for a job that the own copy lacks.
+  void askForJob(OpenEnd &Each);
+  void whereaboutsTold(const std::string &Address, const JobWhereabouts &Told);
+  JobWhereabouts whereabouts(const std::string &Job) const;
   /// Returns true if a majority of the voters can be asked.
   bool majorityReachable() const;
   JobStatus status(const std::string &Job) const;
--- a/src/jobstore/internal/jobcopy.cpp
+++ b/src/jobstore/internal/jobcopy.cpp
@@ -21,10 +21,11 @@
   return Of.Progress.Outcome != StoredOutcome::Open;
 }
 
-/// The submission of an ended job is not needed any more, except its queue.
+/// Of an ended job only its name and its outcome are needed.
 void shorten(JobRecord &Of) {
   if (!ended(Of))
     return;
+  Of.Submission.Policy = {};
   Of.Submission.Spec.clear();
   Of.Submission.Steps.clear();
   Of.Progress.Steps.clear();
--- a/src/jobstore/types/jobstoremessage.h
+++ b/src/jobstore/types/jobstoremessage.h
@@ -185,10 +185,29 @@
   }
 };
 
+/// Asks whether the receiver's copy has a job.
+struct AskJob {
+  std::string Job;
+
+  template <typename Archive> void serialize(Archive &Ar) { Ar(Job); }
+};
+
+/// Reply to AskJob by a whole copy.
+struct JobWhereabouts {
+  std::string Job;
+  bool Known = false;
+  /// Writer of its partition, as far as the copy knows.
+  std::string Writer;
+
+  template <typename Archive> void serialize(Archive &Ar) {
+    Ar(Job, Known, Writer);
+  }
+};
+
 using JobStoreMessage =
     std::variant<WriteJobs, JobsWritten, RenewRights, RightsRenewed,
                  ClaimPartition, PartitionClaimed, FetchCopy, CopyPage,
-                 RunEndNews, RunEndStored>;
+                 RunEndNews, RunEndStored, AskJob, JobWhereabouts>;
 
 } // namespace sapphiremoor
 
