Renew the right to run stored jobs without waiting for disks

Cause: a copy answered a renewal only when all its writes were durable. With slow disks the right of a writer ended, its runs were stopped, and stopping and starting them made more writes.

Change: a renewal tells of promises, and too many rather than too few, so it is answered at once. A write is sent again after 400 ms instead of 150 ms.

--- a/src/jobstore/internal/jobcopy.cpp
+++ b/src/jobstore/internal/jobcopy.cpp
@@ -206,7 +206,9 @@
   for (const PartitionRight &Each : Request.Rights)
     if (promised(Each.Partition) > Each.Of)
       Reply.Fenced.push_back(Each.Partition);
-  sendDurable(From, std::move(Reply));
+  // It tells of promises only, and too many are told rather than too few: no
+  // need to wait for a slow disk, which would end the right of the writer.
+  Effects.emplace_back(SendToCopy{From, std::move(Reply)});
 }
 
 void JobCopy::handle(const std::string &From, const ClaimPartition &Request,
--- a/src/jobstore/jobwriter.h
+++ b/src/jobstore/jobwriter.h
@@ -21,8 +21,9 @@
   /// The former writer stops when its right ends, and its backend servers when
   /// their leases end (600 ms), with a margin for clocks and stops.
   Duration TakeoverPause = std::chrono::milliseconds(2000);
-  /// Pause before a write without a reply is sent again.
-  Duration WriteRetry = std::chrono::milliseconds(150);
+  /// Pause before a write without a reply is sent again; several synced writes
+  /// of a slow disk.
+  Duration WriteRetry = std::chrono::milliseconds(400);
   /// Time after which a claim without a majority is given up.
   Duration ClaimLimit = std::chrono::milliseconds(1000);
 };
--- a/src/jobstore/tests/jobstore_test.cpp
+++ b/src/jobstore/tests/jobstore_test.cpp
@@ -29,6 +29,19 @@
   CHECK(World.running(nameOf(0)).size() == 1);
 }
 
+// Guards against a slow disk that ends the right to run jobs.
+TEST_CASE("the right to run jobs does not wait for disks") {
+  JobStoreNetwork World(3, 6);
+  World.submit(nameOf(0), "j1");
+  World.run(milliseconds(300));
+  World.DisksStall = true;
+  for (int Round = 0; Round < 40; ++Round) {
+    World.work(nameOf(0));
+    World.run(milliseconds(100));
+    CHECK(World.running(nameOf(0)).size() == 1);
+  }
+}
+
 // Guards against one job that two VMs run after it was sent to both.
 TEST_CASE("a job that was sent to two VMs runs at one") {
   for (uint64_t Seed = 1; Seed <= 50; ++Seed) {
--- a/src/jobstore/tests/jobstorenetwork.cpp
+++ b/src/jobstore/tests/jobstorenetwork.cpp
@@ -38,6 +38,7 @@
   Of.Writer = std::make_unique<JobWriter>(JobWriterLimits{}, Name, Life);
   Of.Copy->voters(Voters);
   Of.Writer->voters(Voters);
+  Of.Writer->copies({Names.begin(), Names.end()});
   Of.GoneSince.clear();
   collect(Name);
 }
@@ -111,7 +112,7 @@
   for (const std::string &Name : Names) {
     if (down(Name))
       continue;
-    if (Rng() % 3 == 0)
+    if (Rng() % 3 == 0 && !DisksStall)
       sync(Name);
     Vm &Of = Vms.at(Name);
     std::set<std::string> Linked;
--- a/src/jobstore/tests/jobstorenetwork.h
+++ b/src/jobstore/tests/jobstorenetwork.h
@@ -50,6 +50,8 @@
 
   const std::vector<std::string> &names() const { return Names; }
 
+  /// No write becomes durable.
+  bool DisksStall = false;
   /// Share of messages that are lost.
   double Loss = 0;
   std::vector<std::string> Violations;
