--- a/tests/soak/ledger.cpp
+++ b/tests/soak/ledger.cpp
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+
 namespace sapphiremoor::soak {
 
 namespace {
@@ -36,6 +38,12 @@
   return Of.Ended;
 }
 
+bool Ledger::allEnded() const {
+  return std::ranges::all_of(Jobs, [](const auto &Each) {
+    return !Each.second.Accepted || Each.second.Ended;
+  });
+}
+
 void Ledger::checkAccepted() {
   for (const auto &[Job, Of] : Jobs)
     if (Of.Accepted && !Of.Ended)
--- a/tests/soak/ledger.h
+++ b/tests/soak/ledger.h
@@ -24,6 +24,8 @@
   /// A caller asked for an accepted job and was told \p State, or that it is
   /// not known. Returns true if the job has ended.
   bool stateTold(const std::string &Job, const std::string &State);
+  /// Returns true if all accepted jobs have ended.
+  bool allEnded() const;
   /// Accepted jobs have to have ended by now.
   void checkAccepted();
   /// A backend server holds more than its capacity.
