--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -184,6 +184,8 @@
               Instant Now, int64_t RetryAfterMs = 0);
   /// Forgets a job and stops its runs.
   void removeJob(const std::string &Name, Instant Now);
+  /// Refuses a job that would have to wait for too long.
+  void refuse(const Job &Of, const JobSource &From, Duration Wait, Instant Now);
   void submitStored(const JobSubmission &Request, const JobSource &From,
                     uint8_t Redirects, Instant Now);
   /// Sends a job that would have to wait to a dispatcher that can start it.
