Look tasks and labels up in one place

Found while reading the change once more: supersededBy() copied the whole state of a job only to look at one task; the search for a label stood in couldRun() and in the placement; answerKnown() tested a condition that the next one implies. Behaviour is unchanged.

--- a/src/cluster/internal/jobstoreends.cpp
+++ b/src/cluster/internal/jobstoreends.cpp
@@ -10,7 +10,10 @@
 
 constexpr Duration ForeignEndRetry = std::chrono::milliseconds(300);
 
-TaskProgress *taskIn(JobProgress &Of, const TaskId &Task) {
+/// Returns the progress of a task, or null. \p Of may be constant.
+template <typename Progress>
+auto taskIn(Progress &Of, const TaskId &Task)
+    -> decltype(&Of.Steps[Task.Step][Task.Index]) {
   if (Task.Step >= Of.Steps.size() || Task.Index >= Of.Steps[Task.Step].size())
     return nullptr;
   return &Of.Steps[Task.Step][Task.Index];
@@ -30,8 +33,7 @@
 
 /// Returns true if a later run of the task was started, or may have been.
 bool supersededBy(const JobProgress &Of, const TaskId &Task, uint64_t Run) {
-  JobProgress Copied = Of;
-  const TaskProgress *Known = taskIn(Copied, Task);
+  const TaskProgress *Known = taskIn(Of, Task);
   return Known == nullptr || (Known->DoneRun != Run && Known->LastRun > Run);
 }
 
--- a/src/cluster/internal/jobstoreservice.cpp
+++ b/src/cluster/internal/jobstoreservice.cpp
@@ -196,7 +196,7 @@
   const JobRecord *Known = Copy->find(Job.Id);
   const bool Ended =
       Known != nullptr && Known->Progress.Outcome != StoredOutcome::Open;
-  if (!Ended && Known == nullptr && !Writer.owns(Job.Id))
+  if (Known == nullptr && !Writer.owns(Job.Id))
     return false;
   Sources.emplace(Job.Id, From);
   if (Ended)
--- a/src/dispatch/internal/dispatcherplacement.cpp
+++ b/src/dispatch/internal/dispatcherplacement.cpp
@@ -6,6 +6,7 @@
 
 namespace sapphiremoor {
 
+using detail::hasLabel;
 using detail::OwnerMode;
 using detail::RunPhase;
 using detail::TaskPhase;
@@ -31,10 +32,6 @@
   return Places;
 }
 
-bool hasLabel(const BackendReport &Of, const std::string &Label) {
-  return std::ranges::find(Of.Labels, Label) != Of.Labels.end();
-}
-
 } // namespace
 
 bool Dispatcher::usable(const Backend &Of, Instant Now) {
--- a/src/dispatch/internal/jobstate.cpp
+++ b/src/dispatch/internal/jobstate.cpp
@@ -11,11 +11,14 @@
 
 } // namespace
 
+bool hasLabel(const BackendReport &Of, const std::string &Label) {
+  return std::ranges::find(Of.Labels, Label) != Of.Labels.end();
+}
+
 bool couldRun(const BackendReport &At, const std::string &Service,
               const StepRequest &Step) {
   const bool Labelled =
-      Step.RequiredLabel.empty() ||
-      std::ranges::find(At.Labels, Step.RequiredLabel) != At.Labels.end();
+      Step.RequiredLabel.empty() || hasLabel(At, Step.RequiredLabel);
   return At.Service == Service && Labelled && fits(Step.Need, At.Capacity);
 }
 
--- a/src/dispatch/internal/jobstate.h
+++ b/src/dispatch/internal/jobstate.h
@@ -56,6 +56,9 @@
   std::set<std::pair<TaskId, uint64_t>> ForeignFailures;
 };
 
+/// Returns true if \p Label is one of the backend server's.
+bool hasLabel(const BackendReport &Of, const std::string &Label);
+
 /// Returns true if the backend server has the service, the label and the size
 /// that a task of \p Step needs.
 bool couldRun(const BackendReport &At, const std::string &Service,
