Log which voters are silent, and decide on voters in a module without network

voter_silent (509) and voter_heard (510) are logged once per change, by every control VM that knows the voters; two gauges count voters and silent voters. The choice of the next voters moves from RegisterService to proposeVoters() in versionregister, unchanged, so that tests reach it without a network.

--- a/src/cluster/internal/controlnode.cpp
+++ b/src/cluster/internal/controlnode.cpp
@@ -30,7 +30,7 @@
              Heartbeat.ConfigurationBallot = Configuration.chosenBallot();
              Heartbeat.Load = Dispatch.dispatcher().load(this->Loop.now());
            }}),
-      Configuration(Loop, Settings, Bus),
+      Configuration(Loop, Settings, Bus, Metrics),
       Dispatch(Loop, Settings, Bus, std::move(Orders), Metrics,
                {[this](const OwnershipChanged &Change) {
                   Backends.handleOwnershipChange(Change);
--- a/src/cluster/internal/registerservice.cpp
+++ b/src/cluster/internal/registerservice.cpp
@@ -14,9 +14,8 @@
 constexpr Duration TickPeriod = std::chrono::milliseconds(25);
 constexpr Duration VoterCheckPeriod = std::chrono::seconds(1);
 
-/// A voter that has been silent for this time is replaced if a spare control VM
-/// is live. Restarts and short network partitions end sooner.
-constexpr Duration VoterGoneTimeout = std::chrono::seconds(12);
+/// A voter that has been silent for this time is reported in the log.
+constexpr Duration SilenceReportLimit = std::chrono::seconds(1);
 
 VoterSet firstVoters(const ClusterSettings &Settings) {
   VoterSet Voters{1, {}};
@@ -32,13 +31,19 @@
 
 RegisterService::RegisterService(EventLoop &Loop,
                                  const ClusterSettings &Settings,
-                                 ClusterBus &Bus)
+                                 ClusterBus &Bus, Registry &Metrics)
     : Loop(Loop), Settings(Settings), Bus(Bus),
+      VoterCount(Metrics.gauge("sapphiremoor_register_voters",
+                               "Voters of the configuration register.")),
+      SilentVoterCount(
+          Metrics.gauge("sapphiremoor_register_silent_voters",
+                        "Voters that were not heard for a second or longer.")),
       TickTimer(Loop, [this] { tick(); }) {}
 
 Result<Done>
 RegisterService::start(std::function<void(const RegisterValue &)> Handler) {
   OnChosen = std::move(Handler);
+  StartTime = Loop.now();
   auto OpenResult = RecordLog::open(Settings.DataFolder);
   if (isError(OpenResult))
     return errorOf(OpenResult);
@@ -177,38 +182,68 @@
   run();
 }
 
-void RegisterService::checkVoters() {
-  const VoterSet &Voters = Node->voters();
-  if (!Node->chosen() || !isVoter(Voters, describe(Settings.AdvertisedPeer)))
-    return;
+ControlVmSightings RegisterService::sightings() const {
   const Instant Now = Loop.now();
-  VoterCandidates Candidates;
-  Candidates.TargetSize = 2 * Settings.ToleratedLosses + 1;
+  ControlVmSightings Sightings;
+  Sightings.Self = describe(Settings.AdvertisedPeer);
+  Sightings.Uptime = Now - StartTime;
   for (const MemberInfo &Member : Bus.liveControlVms())
-    Candidates.Live.insert(describe(Member.PeerEndpoint));
-  for (const std::string &Voter : Voters.Voters) {
-    const MemberInfo *Member = Bus.members().findByAddress(Voter);
-    if (Voter == describe(Settings.AdvertisedPeer) || Member == nullptr)
-      continue;
-    const auto Silence = Bus.members().silenceDuration(Member->Id.Name, Now);
-    if (Silence && *Silence > VoterGoneTimeout)
-      Candidates.Unresponsive.insert(Voter);
-  }
-  // Only the first live voter proposes, because two proposers would delay each
-  // other.
-  const auto ProposerIt = std::ranges::find_if(
-      Voters.Voters, [&Candidates](const std::string &Voter) {
-        return Candidates.Live.contains(Voter);
-      });
-  if (ProposerIt == Voters.Voters.end() ||
-      *ProposerIt != describe(Settings.AdvertisedPeer))
+    Sightings.Live.insert(describe(Member.PeerEndpoint));
+  for (const std::string &Voter : Node->voters().Voters)
+    if (const MemberInfo *Member = Bus.members().findByAddress(Voter))
+      if (const auto Silence =
+              Bus.members().silenceDuration(Member->Id.Name, Now))
+        Sightings.Silence.emplace(Voter, *Silence);
+  return Sightings;
+}
+
+void RegisterService::checkVoters() {
+  const ControlVmSightings Sightings = sightings();
+  reportSilentVoters(Sightings);
+  const VoterSet &Voters = Node->voters();
+  if (!Node->chosen() || !isVoter(Voters, Sightings.Self))
     return;
-  if (const auto NewVoters = nextVoters(Voters, Candidates)) {
+  VoterWatchLimits Limits;
+  Limits.TargetSize = 2 * Settings.ToleratedLosses + 1;
+  if (const auto NewVoters = proposeVoters(Voters, Sightings, Limits)) {
     logEvent(events::VotersChanging,
              {{"epoch", std::to_string(NewVoters->Epoch)},
               {"voters", std::to_string(NewVoters->Voters.size())}});
-    Node->changeVoters(*NewVoters, Now);
+    Node->changeVoters(*NewVoters, Loop.now());
+  }
+}
+
+void RegisterService::reportSilentVoters(const ControlVmSightings &Sightings) {
+  const VoterSet &Voters = Node->voters();
+  const std::vector<SilentVoter> Silent =
+      silentVoters(Voters, Sightings, SilenceReportLimit);
+  std::set<std::string> Addresses;
+  for (const SilentVoter &Voter : Silent) {
+    Addresses.insert(Voter.Address);
+    if (ReportedVoters.contains(Voter.Address))
+      continue;
+    logEvent(
+        events::VoterSilent,
+        {{"voter", Voter.Address},
+         {"heard", Voter.EverHeard ? "yes" : "no"},
+         {"silence_ms",
+          std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(
+                             Voter.Silence)
+                             .count())},
+         {"silent", std::to_string(Silent.size())},
+         {"voters", std::to_string(Voters.Voters.size())},
+         {"voters_epoch", std::to_string(Voters.Epoch)},
+         {"live_control_vms", std::to_string(Sightings.Live.size())}});
   }
+  for (const std::string &Address : ReportedVoters)
+    if (!Addresses.contains(Address))
+      logEvent(events::VoterHeard,
+               {{"voter", Address},
+                {"votes", isVoter(Voters, Address) ? "yes" : "no"},
+                {"voters_epoch", std::to_string(Voters.Epoch)}});
+  ReportedVoters = std::move(Addresses);
+  VoterCount.set(static_cast<double>(Voters.Voters.size()));
+  SilentVoterCount.set(static_cast<double>(Silent.size()));
 }
 
 } // namespace sapphiremoor
--- a/src/cluster/registerservice.h
+++ b/src/cluster/registerservice.h
@@ -2,13 +2,17 @@
 #define SAPPHIREMOOR_CLUSTER_REGISTERSERVICE_H
 
 #include "cluster/clusterbus.h"
+#include "framework/metrics/registry.h"
 #include "framework/storage/storagetask.h"
 #include "versionregister/registernode.h"
+#include "versionregister/voterwatch.h"
 
 #include <functional>
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
+#include <string>
 
 namespace sapphiremoor {
 
@@ -20,7 +24,7 @@
       std::function<void(OperationOutcome, const VersionedDocument &)>;
 
   RegisterService(EventLoop &Loop, const ClusterSettings &Settings,
-                  ClusterBus &Bus);
+                  ClusterBus &Bus, Registry &Metrics);
 
   /// Opens the data folder. \p OnChosen is called with each newer value.
   Result<Done> start(std::function<void(const RegisterValue &)> OnChosen);
@@ -44,8 +48,10 @@
   void handleStorageReplies(const std::vector<StorageReply> &Replies);
   void handleOperationEnd(const OperationEnded &Effect);
   void tick();
+  ControlVmSightings sightings() const;
   /// Proposes to replace voters that are gone.
   void checkVoters();
+  void reportSilentVoters(const ControlVmSightings &Sightings);
 
   EventLoop &Loop;
   const ClusterSettings &Settings;
@@ -56,7 +62,12 @@
   bool StorageLost = false;
   std::map<uint64_t, OperationHandler> Handlers;
   std::optional<uint64_t> StartupRead;
+  Instant StartTime;
   Instant NextVoterCheck;
+  /// Voters that were reported as silent and not as heard again.
+  std::set<std::string> ReportedVoters;
+  Gauge &VoterCount;
+  Gauge &SilentVoterCount;
   Timer TickTimer;
 };
 
--- a/src/framework/eventlog/internal/eventlog.cpp
+++ b/src/framework/eventlog/internal/eventlog.cpp
@@ -54,7 +54,8 @@
     events::ChangeInForce,    events::StorageFailed,
     events::LogRecovered,     events::ChunkRejected,
     events::VotersChanging,   events::ChangeRefused,
-    events::JobsRecovered,    events::ReadinessChanged,
+    events::JobsRecovered,    events::VoterSilent,
+    events::VoterHeard,       events::ReadinessChanged,
     events::SettingsReloaded};
 
 } // namespace
--- /dev/null
+++ b/src/versionregister/voterwatch.h
@@ -0,0 +1,62 @@
+#ifndef SAPPHIREMOOR_VERSIONREGISTER_VOTERWATCH_H
+#define SAPPHIREMOOR_VERSIONREGISTER_VOTERWATCH_H
+
+#include "framework/core/time.h"
+#include "versionregister/types/registervalue.h"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace sapphiremoor {
+
+/// What a control VM has heard of the others.
+struct ControlVmSightings {
+  /// Address of the VM that watches.
+  std::string Self;
+  /// Addresses of the control VMs that were heard recently and accept work,
+  /// including Self.
+  std::set<std::string> Live;
+  /// Time since any VM heard a control VM, by address. A control VM that nobody
+  /// has heard since Self started is missing.
+  std::map<std::string, Duration> Silence;
+  /// Time since Self started.
+  Duration Uptime{};
+};
+
+/// A voter that has not been heard for some time.
+struct SilentVoter {
+  std::string Address;
+  /// Time since the voter was heard. If it has never been heard, the time since
+  /// the watching VM started.
+  Duration Silence{};
+  bool EverHeard = false;
+
+  auto operator<=>(const SilentVoter &) const = default;
+};
+
+/// Limits of proposeVoters().
+struct VoterWatchLimits {
+  /// A voter that has been silent for this time is replaced if a spare control
+  /// VM is live. Restarts and short network partitions end sooner.
+  Duration GoneTimeout = std::chrono::seconds(12);
+  /// Number of voters that the deployment should have.
+  std::size_t TargetSize = 3;
+};
+
+/// Returns the voters other than the watching VM that have been silent for
+/// \p MinSilence or longer.
+std::vector<SilentVoter> silentVoters(const VoterSet &Voters,
+                                      const ControlVmSightings &Sightings,
+                                      Duration MinSilence);
+
+/// Returns the voter set that the watching VM should propose now, or nothing.
+std::optional<VoterSet> proposeVoters(const VoterSet &Voters,
+                                      const ControlVmSightings &Sightings,
+                                      const VoterWatchLimits &Limits);
+
+} // namespace sapphiremoor
+
+#endif // SAPPHIREMOOR_VERSIONREGISTER_VOTERWATCH_H
