--- a/src/versionregister/tests/register_test.cpp
+++ b/src/versionregister/tests/register_test.cpp
@@ -4,6 +4,7 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <numeric>
 
 using namespace sapphiremoor;
 
@@ -16,6 +17,21 @@
          It->second.Outcome == OperationOutcome::Decided;
 }
 
+/// Proposes at \p Proposer to replace one voter by a VM that is none.
+void exchangeRandomVoter(RegisterNetwork &Network, const std::string &Proposer,
+                         Random &Rng) {
+  VoterSet Next = Network.node(Proposer).voters();
+  if (Next.Voters.empty())
+    return;
+  ++Next.Epoch;
+  const std::string &Newcomer = Network.Names[Rng() % Network.Names.size()];
+  if (isVoter(Next, Newcomer))
+    return;
+  Next.Voters[Rng() % Next.Voters.size()] = Newcomer;
+  std::ranges::sort(Next.Voters);
+  Network.node(Proposer).changeVoters(Next, Network.Now);
+}
+
 } // namespace
 
 // Guards against an acknowledged document that another VM cannot read back.
@@ -129,6 +145,55 @@
   }
 }
 
+// Guards against two voter sets that decide independently of each other, for
+// example after restarts in the middle of a change of the voters.
+TEST_CASE("random changes of the voters never lose or reverse a version") {
+  constexpr uint64_t RandomSeeds = 150;
+  // A read returned an older version than one that had been decided.
+  constexpr uint64_t RegressionSeed = 880;
+  std::vector<uint64_t> Seeds(RandomSeeds);
+  std::iota(Seeds.begin(), Seeds.end(), 1);
+  Seeds.push_back(RegressionSeed);
+  for (const uint64_t Seed : Seeds) {
+    CAPTURE(Seed);
+    RegisterNetwork Network(3, Seed);
+    Network.LossShare = 0.05;
+    Network.RequestsNewerValues = true;
+    Network.run(300);
+    Network.add("w0");
+    Network.add("w1");
+    Random Rng(Seed);
+    uint64_t Version = 1;
+    for (int Round = 0; Round < 80; ++Round) {
+      const std::string &Proposer = Network.Names[Rng() % Network.Names.size()];
+      if (!Network.isDown(Proposer)) {
+        Version += Rng() % 3;
+        Network.put(Proposer, {Version, std::to_string(Version) + Proposer});
+        Network.read(Proposer);
+        exchangeRandomVoter(Network, Proposer, Rng);
+      }
+      Network.run(Rng() % 100);
+      const std::string &Victim = Network.Names[Rng() % Network.Names.size()];
+      if (Network.isDown(Victim))
+        Network.restart(Victim);
+      else if (Rng() % 3 == 0)
+        Network.crash(Victim, false);
+      Network.setCut(Victim, Rng() % 4 == 0);
+    }
+    for (const std::string &Name : Network.Names) {
+      Network.setCut(Name, false);
+      if (Network.isDown(Name))
+        Network.restart(Name);
+    }
+    Network.LossShare = 0;
+    Network.run(4000);
+    const uint64_t Read = Network.read(Network.Names.front());
+    Network.run(2000);
+    CHECK(decided(Network, Network.Names.front(), Read));
+    CHECK(Network.Violations == std::vector<std::string>{});
+  }
+}
+
 // Guards against an unresponsive voter that is never replaced.
 TEST_CASE("a live VM replaces an unresponsive voter") {
   const VoterSet Current{4, {"a", "b", "c"}};
--- a/src/versionregister/tests/registernetwork.cpp
+++ b/src/versionregister/tests/registernetwork.cpp
@@ -44,7 +44,9 @@
   if (isDown(Name))
     return;
   node(Name).tick(Now);
-  if (!node(Name).chosen() && Rng() % 8 == 0)
+  const bool RequestsChosen =
+      !node(Name).chosen() || (RequestsNewerValues && Rng() % 8 == 0);
+  if (RequestsChosen && Rng() % 8 == 0)
     Messages.push_back({Name, Names[Rng() % Names.size()], ChosenRequest{}});
   processEffects(Name);
 }
@@ -93,6 +95,12 @@
 
 void RegisterNetwork::restart(const std::string &Name) { start(Name, false); }
 
+void RegisterNetwork::add(const std::string &Name) {
+  Names.push_back(Name);
+  Nodes.emplace(Name, Member{});
+  start(Name, false);
+}
+
 void RegisterNetwork::setCut(const std::string &Name, bool IsCut) {
   Nodes.at(Name).Cut = IsCut;
 }
--- a/src/versionregister/tests/registernetwork.h
+++ b/src/versionregister/tests/registernetwork.h
@@ -27,6 +27,8 @@
   /// synced ones are lost too.
   void crash(const std::string &Name, bool WipeDisk);
   void restart(const std::string &Name);
+  /// Starts a further node, which has an empty disk and is not a voter.
+  void add(const std::string &Name);
   bool isDown(const std::string &Name) const {
     return Nodes.at(Name).Node == nullptr;
   }
@@ -35,6 +37,8 @@
 
   /// Share of messages that are lost.
   double LossShare = 0;
+  /// True if nodes that know a chosen value keep asking for a newer one.
+  bool RequestsNewerValues = false;
   Instant Now;
   /// The outcome of each ended operation, by node and number.
   std::map<std::pair<std::string, uint64_t>, OperationEnded> EndedOperations;
--- /dev/null
+++ b/src/versionregister/tests/voterexchange_test.cpp
@@ -0,0 +1,111 @@
+#include "versionregister/tests/voterexchange.h"
+
+#include "versionregister/voterset.h"
+
+#include <doctest/doctest.h>
+
+using namespace sapphiremoor;
+
+namespace {
+
+/// Time after which a new control VM has to carry the loss of another one.
+constexpr Duration CatchUpTime = std::chrono::seconds(4);
+
+/// Time from the loss of a control VM to the start of its successor.
+constexpr Duration SuccessorDelay = std::chrono::seconds(1);
+
+/// Longest time between the end of a process and the first message of the next
+/// one, if it is restarted at once.
+constexpr Duration RestartTime = std::chrono::milliseconds(1200);
+
+} // namespace
+
+// Guards against a voter that stays one after its successor had the time to
+// catch up: the next loss would take the majority.
+TEST_CASE("a voter that is gone is replaced within the successor's catch-up") {
+  const VoterSet Voters{1, {"a", "b", "c"}};
+  ControlVmSightings Sightings{"b", {"b", "c", "d"}, {}, {}};
+  Sightings.Uptime = std::chrono::seconds(60);
+  Sightings.Silence = {{"a", SuccessorDelay + CatchUpTime / 2}, {"c", {}}};
+  const auto Proposal = proposeVoters(Voters, Sightings, {});
+  REQUIRE(Proposal.has_value());
+  CHECK(*Proposal == VoterSet{2, {"b", "c", "d"}});
+}
+
+// Guards against an exchange of voters for a process that is only restarted.
+TEST_CASE("a voter whose process restarts is not replaced") {
+  const VoterSet Voters{1, {"a", "b", "c"}};
+  ControlVmSightings Sightings{"b", {"b", "c", "d"}, {}, {}};
+  Sightings.Uptime = std::chrono::seconds(60);
+  Sightings.Silence = {{"a", RestartTime}, {"c", {}}};
+  CHECK_FALSE(proposeVoters(Voters, Sightings, {}).has_value());
+  Sightings.Silence.erase("a");
+  Sightings.Uptime = RestartTime;
+  CHECK_FALSE(proposeVoters(Voters, Sightings, {}).has_value());
+}
+
+// Guards against a voter that is never replaced because the VM that has to
+// propose it was restarted after the loss and has never heard of the voter.
+TEST_CASE("a VM that restarted after the loss of a voter replaces that voter") {
+  const VoterSet Voters{1, {"a", "b", "c"}};
+  ControlVmSightings Sightings{"b", {"b", "c", "d"}, {}, {}};
+  Sightings.Uptime = std::chrono::seconds(60);
+  Sightings.Silence = {{"c", {}}};
+  const auto Proposal = proposeVoters(Voters, Sightings, {});
+  REQUIRE(Proposal.has_value());
+  CHECK(*Proposal == VoterSet{2, {"b", "c", "d"}});
+}
+
+// Guards against a configuration that no majority can read any more after two
+// control VMs were exchanged, the second one when the first successor had
+// caught up.
+TEST_CASE("two exchanges of control VMs keep the configuration") {
+  for (uint64_t Seed = 1; Seed <= 20; ++Seed) {
+    CAPTURE(Seed);
+    VoterExchange Exchange(3, Seed);
+    REQUIRE(Exchange.put("v2", {9, "nine"}));
+    Exchange.run(std::chrono::seconds(4));
+    Exchange.stop("v0", true);
+    Exchange.run(SuccessorDelay);
+    Exchange.add("n0");
+    Exchange.run(CatchUpTime);
+    CHECK(Exchange.put("v2", {39, "thirty-nine"}));
+    Exchange.stop("v1", true);
+    Exchange.run(SuccessorDelay);
+    Exchange.add("n1");
+    Exchange.run(CatchUpTime);
+    CHECK(Exchange.put("v2", {43, "forty-three"}));
+    CHECK(Exchange.read("n1") == VersionedDocument{43, "forty-three"});
+    CHECK(Exchange.Network.Violations == std::vector<std::string>{});
+  }
+}
+
+// Guards against the loss of the configuration with one disk after an exchange
+// during which the remaining voters were restarted one after the other.
+TEST_CASE("an exchange beside restarts leaves no voter that is gone") {
+  for (uint64_t Seed = 1; Seed <= 20; ++Seed) {
+    CAPTURE(Seed);
+    VoterExchange Exchange(3, Seed);
+    REQUIRE(Exchange.put("v2", {7, "seven"}));
+    Exchange.stop("v0", true);
+    Exchange.run(SuccessorDelay / 2);
+    for (const std::string Name : {"v1", "v2"}) {
+      Exchange.stop(Name);
+      Exchange.run(SuccessorDelay / 2);
+      Exchange.restart(Name);
+      Exchange.run(SuccessorDelay);
+    }
+    Exchange.add("n0");
+    Exchange.run(CatchUpTime);
+    CHECK(Exchange.put("v2", {346, "newest"}));
+    // All VMs lose their power, and one of them its disk.
+    for (const std::string Name : {"v1", "v2", "n0"})
+      Exchange.stop(Name, Name == "v2");
+    Exchange.run(SuccessorDelay);
+    for (const std::string Name : {"v1", "v2", "n0"})
+      Exchange.restart(Name);
+    Exchange.run(CatchUpTime);
+    CHECK(Exchange.read("v1") == VersionedDocument{346, "newest"});
+    CHECK(Exchange.Network.Violations == std::vector<std::string>{});
+  }
+}
