Replace a voter that this control VM has never heard

Cause: the exchange is proposed by the first live voter, and only for a voter that it has heard and that is silent since. A control VM that restarts after the loss knows nothing of the voter that is gone, so it never proposed, and the others left it to that VM.

The silence of a voter that was not heard since the start of this VM counts from that start, so every VM that may propose comes to the same end. The test "a VM that restarted after the loss of a voter replaces that voter" failed before.

--- a/src/versionregister/internal/voterwatch.cpp
+++ b/src/versionregister/internal/voterwatch.cpp
@@ -38,8 +38,7 @@
   Candidates.Live = Sightings.Live;
   for (const SilentVoter &Silent :
        silentVoters(Voters, Sightings, Limits.GoneTimeout))
-    if (Silent.EverHeard)
-      Candidates.Unresponsive.insert(Silent.Address);
+    Candidates.Unresponsive.insert(Silent.Address);
   return nextVoters(Voters, Candidates);
 }
 
--- a/src/versionregister/voterwatch.h
+++ b/src/versionregister/voterwatch.h
@@ -20,7 +20,8 @@
   /// including Self.
   std::set<std::string> Live;
   /// Time since any VM heard a control VM, by address. A control VM that nobody
-  /// has heard since Self started is missing.
+  /// has heard since Self started is missing; its silence counts from that
+  /// start.
   std::map<std::string, Duration> Silence;
   /// Time since Self started.
   Duration Uptime{};
