Keep the voters spread over the data centres when one is replaced

The successor of a voter was the first live control VM by address, whatever its data centre. With spare control VMs, the loss of core-nitra-1 could make two of three voters VMs of one data centre for good, and the loss of that data centre would have taken the majority.

nextVoters() now adds a VM of the data centre with the fewest voters, and moves a voter to a data centre that has at least two fewer, not within 3 s of the last exchange, so that the newest voter can catch up first. "the successor of a voter keeps the voters spread" fails with the former choice; "a voter moves to a data centre that has too few" tests what is new.

--- a/src/cluster/internal/registerservice.cpp
+++ b/src/cluster/internal/registerservice.cpp
@@ -6,6 +6,7 @@
 #include "versionregister/voterset.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace sapphiremoor {
 
@@ -44,6 +45,7 @@
 RegisterService::start(std::function<void(const RegisterValue &)> Handler) {
   OnChosen = std::move(Handler);
   StartTime = Loop.now();
+  ExchangedAt = StartTime;
   auto OpenResult = RecordLog::open(Settings.DataFolder);
   if (isError(OpenResult))
     return errorOf(OpenResult);
@@ -127,6 +129,9 @@
     logEvent(events::ChangeInForce,
              {{"version", std::to_string(Chosen->Value.Document.Version)},
               {"voters_epoch", std::to_string(Chosen->Value.Voters.Epoch)}});
+    if (std::exchange(KnownEpoch, Chosen->Value.Voters.Epoch) !=
+        Chosen->Value.Voters.Epoch)
+      ExchangedAt = Loop.now();
     OnChosen(Chosen->Value);
   }
 }
@@ -187,13 +192,19 @@
   ControlVmSightings Sightings;
   Sightings.Self = describe(Settings.AdvertisedPeer);
   Sightings.Uptime = Now - StartTime;
-  for (const MemberInfo &Member : Bus.liveControlVms())
+  Sightings.SinceExchange = Now - ExchangedAt;
+  for (const MemberInfo &Member : Bus.liveControlVms()) {
     Sightings.Live.insert(describe(Member.PeerEndpoint));
+    Sightings.DataCentres.emplace(describe(Member.PeerEndpoint),
+                                  Member.DataCentre);
+  }
   for (const std::string &Voter : Node->voters().Voters)
-    if (const MemberInfo *Member = Bus.members().findByAddress(Voter))
+    if (const MemberInfo *Member = Bus.members().findByAddress(Voter)) {
+      Sightings.DataCentres.emplace(Voter, Member->DataCentre);
       if (const auto Silence =
               Bus.members().silenceDuration(Member->Id.Name, Now))
         Sightings.Silence.emplace(Voter, *Silence);
+    }
   return Sightings;
 }
 
--- a/src/cluster/registerservice.h
+++ b/src/cluster/registerservice.h
@@ -63,6 +63,10 @@
   std::map<uint64_t, OperationHandler> Handlers;
   std::optional<uint64_t> StartupRead;
   Instant StartTime;
+  /// Epoch of the newest voters that were in force here, and the time of the
+  /// last change.
+  uint64_t KnownEpoch = 0;
+  Instant ExchangedAt;
   Instant NextVoterCheck;
   /// Voters that were reported as silent and not as heard again.
   std::set<std::string> ReportedVoters;
--- a/src/versionregister/internal/voterwatch.cpp
+++ b/src/versionregister/internal/voterwatch.cpp
@@ -36,6 +36,8 @@
   VoterCandidates Candidates;
   Candidates.TargetSize = Limits.TargetSize;
   Candidates.Live = Sightings.Live;
+  Candidates.DataCentres = Sightings.DataCentres;
+  Candidates.MaySpread = Sightings.SinceExchange >= Limits.SettleTime;
   for (const SilentVoter &Silent :
        silentVoters(Voters, Sightings, Limits.GoneTimeout))
     Candidates.Unresponsive.insert(Silent.Address);
--- a/src/versionregister/tests/register_test.cpp
+++ b/src/versionregister/tests/register_test.cpp
@@ -204,6 +204,36 @@
   CHECK(nextVoters(Current, {{"a", "b", "c", "d"}, {}, 5})->Voters.size() == 4);
 }
 
+// Guards against voters that gather in one data centre, whose loss would then
+// take the majority.
+TEST_CASE("the successor of a voter keeps the voters spread") {
+  const VoterSet Current{4, {"n1", "t1", "z1"}};
+  VoterCandidates Candidates{{"t1", "t2", "x1", "z1"}, {"n1"}, 3};
+  Candidates.DataCentres = {{"n1", "nitra"},
+                            {"t1", "trencin"},
+                            {"t2", "trencin"},
+                            {"x1", "nitra"},
+                            {"z1", "zilina"}};
+  const auto Next = nextVoters(Current, Candidates);
+  REQUIRE(Next.has_value());
+  CHECK(*Next == VoterSet{5, {"t1", "x1", "z1"}});
+}
+
+// Guards against voters that stay in one data centre after the VMs of the
+// others have returned.
+TEST_CASE("a voter moves to a data centre that has too few") {
+  const VoterSet Current{4, {"t1", "t2", "z1"}};
+  VoterCandidates Candidates{{"n1", "t1", "t2", "z1"}, {}, 3};
+  Candidates.DataCentres = {
+      {"n1", "nitra"}, {"t1", "trencin"}, {"t2", "trencin"}, {"z1", "zilina"}};
+  CHECK_FALSE(nextVoters(Current, Candidates).has_value());
+  Candidates.MaySpread = true;
+  const auto Next = nextVoters(Current, Candidates);
+  REQUIRE(Next.has_value());
+  CHECK(*Next == VoterSet{5, {"n1", "t2", "z1"}});
+  CHECK_FALSE(nextVoters(*Next, Candidates).has_value());
+}
+
 // Guards against a decision by the old voters after a change of the voter set.
 TEST_CASE(
     "documents survive the removal of one voter and the loss of another") {
--- a/src/versionregister/voterset.h
+++ b/src/versionregister/voterset.h
@@ -3,6 +3,7 @@
 
 #include "versionregister/types/registervalue.h"
 
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -23,11 +24,20 @@
   std::set<std::string> Unresponsive;
   /// Number of voters that the deployment should have.
   std::size_t TargetSize = 3;
+  /// Data centres of the VMs, by address.
+  std::map<std::string, std::string> DataCentres = {};
+  /// True if a voter may be replaced only to spread the voters over the data
+  /// centres.
+  bool MaySpread = false;
 };
 
 /// Returns the next voter set, or nothing if there is no live VM to add or no
 /// reason for a change. An unresponsive voter is replaced by a live VM;
-/// otherwise a live VM is added while there are fewer voters than TargetSize.
+/// otherwise a live VM is added while there are fewer voters than TargetSize;
+/// otherwise a voter moves from a data centre with several voters to one that
+/// has at least two fewer. The VM that is added is one of the data centre with
+/// the fewest voters, so that the loss of a data centre costs as few voters as
+/// possible.
 std::optional<VoterSet> nextVoters(const VoterSet &Current,
                                    const VoterCandidates &Candidates);
 
--- a/src/versionregister/voterwatch.h
+++ b/src/versionregister/voterwatch.h
@@ -25,6 +25,10 @@
   std::map<std::string, Duration> Silence;
   /// Time since Self started.
   Duration Uptime{};
+  /// Data centres of the control VMs, by address.
+  std::map<std::string, std::string> DataCentres = {};
+  /// Time since the voters changed last, or since Self started.
+  Duration SinceExchange{};
 };
 
 /// A voter that has not been heard for some time.
@@ -45,6 +49,9 @@
   Duration GoneTimeout = std::chrono::seconds(12);
   /// Number of voters that the deployment should have.
   std::size_t TargetSize = 3;
+  /// Time after an exchange in which no voter moves to another data centre, so
+  /// that the newest voter can catch up first.
+  Duration SettleTime = std::chrono::seconds(3);
 };
 
 /// Returns the voters other than the watching VM that have been silent for
