Replace a voter that is gone before its successor has caught up

One that announces its stop is replaced at once, not within 3 s of the last exchange. Each live voter proposes, 400 ms after the one before it, so that one VM that cannot complete the exchange does not block it. Nothing is proposed without a majority of the voters in sight; a proposal replaces the one that still waits, and is logged once, with the VMs that come and go.

--- a/src/cluster/internal/registerservice.cpp
+++ b/src/cluster/internal/registerservice.cpp
@@ -13,7 +13,7 @@
 namespace {
 
 constexpr Duration TickPeriod = std::chrono::milliseconds(25);
-constexpr Duration VoterCheckPeriod = std::chrono::seconds(1);
+constexpr Duration VoterCheckPeriod = std::chrono::milliseconds(200);
 
 /// A voter that has been silent for this time is reported in the log.
 constexpr Duration SilenceReportLimit = std::chrono::seconds(1);
@@ -201,6 +201,8 @@
   for (const std::string &Voter : Node->voters().Voters)
     if (const MemberInfo *Member = Bus.members().findByAddress(Voter)) {
       Sightings.DataCentres.emplace(Voter, Member->DataCentre);
+      if (Member->Draining && Bus.members().isLive(Member->Id.Name, Now))
+        Sightings.Leaving.insert(Voter);
       if (const auto Silence =
               Bus.members().silenceDuration(Member->Id.Name, Now))
         Sightings.Silence.emplace(Voter, *Silence);
@@ -216,12 +218,27 @@
     return;
   VoterWatchLimits Limits;
   Limits.TargetSize = 2 * Settings.ToleratedLosses + 1;
-  if (const auto NewVoters = proposeVoters(Voters, Sightings, Limits)) {
-    logEvent(events::VotersChanging,
-             {{"epoch", std::to_string(NewVoters->Epoch)},
-              {"voters", std::to_string(NewVoters->Voters.size())}});
+  const auto NewVoters = proposeVoters(Voters, Sightings, Limits);
+  if (NewVoters && NewVoters != LastProposal)
+    logProposal(Voters, *NewVoters);
+  if (NewVoters)
     Node->changeVoters(*NewVoters, Loop.now());
-  }
+  LastProposal = NewVoters;
+}
+
+void RegisterService::logProposal(const VoterSet &Voters,
+                                  const VoterSet &NewVoters) const {
+  std::vector<std::string> Added;
+  std::ranges::set_difference(NewVoters.Voters, Voters.Voters,
+                              std::back_inserter(Added));
+  std::vector<std::string> Removed;
+  std::ranges::set_difference(Voters.Voters, NewVoters.Voters,
+                              std::back_inserter(Removed));
+  logEvent(events::VotersChanging,
+           {{"epoch", std::to_string(NewVoters.Epoch)},
+            {"voters", std::to_string(NewVoters.Voters.size())},
+            {"added", Added.empty() ? "" : Added.front()},
+            {"removed", Removed.empty() ? "" : Removed.front()}});
 }
 
 void RegisterService::reportSilentVoters(const ControlVmSightings &Sightings) {
--- a/src/cluster/registerservice.h
+++ b/src/cluster/registerservice.h
@@ -51,6 +51,7 @@
   ControlVmSightings sightings() const;
   /// Proposes to replace voters that are gone.
   void checkVoters();
+  void logProposal(const VoterSet &Voters, const VoterSet &NewVoters) const;
   void reportSilentVoters(const ControlVmSightings &Sightings);
 
   EventLoop &Loop;
@@ -68,6 +69,8 @@
   uint64_t KnownEpoch = 0;
   Instant ExchangedAt;
   Instant NextVoterCheck;
+  /// The voters that the last check proposed.
+  std::optional<VoterSet> LastProposal;
   /// Voters that were reported as silent and not as heard again.
   std::set<std::string> ReportedVoters;
   Gauge &VoterCount;
--- a/src/versionregister/internal/registernode.cpp
+++ b/src/versionregister/internal/registernode.cpp
@@ -64,6 +64,8 @@
 void RegisterNode::changeVoters(const VoterSet &NewVoters, Instant Now) {
   if (NewVoters.Epoch != Voters.Epoch + 1)
     return;
+  std::erase_if(PendingOperations,
+                [](const Operation &Op) { return Op.Voters.has_value(); });
   PendingOperations.push_back(
       {NextOperation++, {}, NewVoters, Now + Limits.OperationTimeout});
   startRoundIfNeeded(Now);
--- a/src/versionregister/internal/voterwatch.cpp
+++ b/src/versionregister/internal/voterwatch.cpp
@@ -6,6 +6,23 @@
 
 namespace sapphiremoor {
 
+namespace {
+
+/// Returns the position of the watching VM among the live voters, or nothing if
+/// it is none of them.
+std::optional<int64_t> proposerRank(const VoterSet &Voters,
+                                    const ControlVmSightings &Sightings) {
+  if (!isVoter(Voters, Sightings.Self) ||
+      !Sightings.Live.contains(Sightings.Self))
+    return std::nullopt;
+  return std::ranges::count_if(
+      Voters.Voters, [&Sightings](const std::string &Voter) {
+        return Voter < Sightings.Self && Sightings.Live.contains(Voter);
+      });
+}
+
+} // namespace
+
 std::vector<SilentVoter> silentVoters(const VoterSet &Voters,
                                       const ControlVmSightings &Sightings,
                                       Duration MinSilence) {
@@ -25,22 +42,25 @@
 std::optional<VoterSet> proposeVoters(const VoterSet &Voters,
                                       const ControlVmSightings &Sightings,
                                       const VoterWatchLimits &Limits) {
-  // Only the first live voter proposes, because two proposers would delay each
-  // other.
-  const auto ProposerIt = std::ranges::find_if(
-      Voters.Voters, [&Sightings](const std::string &Voter) {
-        return Sightings.Live.contains(Voter);
-      });
-  if (ProposerIt == Voters.Voters.end() || *ProposerIt != Sightings.Self)
+  std::set<std::string> Heard = Sightings.Live;
+  Heard.insert(Sightings.Leaving.begin(), Sightings.Leaving.end());
+  const auto Rank = proposerRank(Voters, Sightings);
+  if (!Rank || !isMajority(Voters, Heard))
     return std::nullopt;
+  const bool Settled = Sightings.SinceExchange >= Limits.SettleTime;
   VoterCandidates Candidates;
   Candidates.TargetSize = Limits.TargetSize;
   Candidates.Live = Sightings.Live;
   Candidates.DataCentres = Sightings.DataCentres;
-  Candidates.MaySpread = Sightings.SinceExchange >= Limits.SettleTime;
-  for (const SilentVoter &Silent :
-       silentVoters(Voters, Sightings, Limits.GoneTimeout))
+  Candidates.MaySpread = Settled;
+  const Duration MinSilence = Limits.GoneTimeout + *Rank * Limits.ProposerDelay;
+  for (const SilentVoter &Silent : silentVoters(Voters, Sightings, MinSilence))
     Candidates.Unresponsive.insert(Silent.Address);
+  if (Candidates.Unresponsive.empty() && *Rank > 0)
+    return std::nullopt;
+  if (Settled)
+    Candidates.Unresponsive.insert(Sightings.Leaving.begin(),
+                                   Sightings.Leaving.end());
   return nextVoters(Voters, Candidates);
 }
 
--- a/src/versionregister/registernode.h
+++ b/src/versionregister/registernode.h
@@ -56,8 +56,8 @@
   /// Starts to read the newest document from a majority. OperationEnded reports
   /// the result under the returned number.
   uint64_t read(Instant Now);
-  /// Proposes \p NewVoters. Does nothing unless their epoch follows the current
-  /// one.
+  /// Proposes \p NewVoters in place of an earlier proposal that has not
+  /// started. Does nothing unless their epoch follows the current one.
   void changeVoters(const VoterSet &NewVoters, Instant Now);
 
   void receive(const std::string &Sender, const RegisterMessage &Message,
--- a/src/versionregister/tests/voterexchange.cpp
+++ b/src/versionregister/tests/voterexchange.cpp
@@ -50,11 +50,12 @@
   ControlVmSightings Sightings;
   Sightings.Self = Self;
   Sightings.Uptime = Network.Now - StartedAt.at(Self);
+  Sightings.SinceExchange = Sightings.Uptime;
   for (const std::string &Name : Network.Names) {
     if (!Network.isDown(Name)) {
       Sightings.Silence[Name] = {};
-      if (!Draining.contains(Name))
-        Sightings.Live.insert(Name);
+      (Draining.contains(Name) ? Sightings.Leaving : Sightings.Live)
+          .insert(Name);
     } else if (LastUp.at(Name) >= StartedAt.at(Self)) {
       Sightings.Silence[Name] = Network.Now - LastUp.at(Name);
     }
--- a/src/versionregister/tests/voterexchange_test.cpp
+++ b/src/versionregister/tests/voterexchange_test.cpp
@@ -56,6 +56,51 @@
   CHECK(*Proposal == VoterSet{2, {"b", "c", "d"}});
 }
 
+// Guards against an exchange that nobody proposes because the first live voter
+// cannot complete it.
+TEST_CASE("the next live voter proposes if the first one does not") {
+  const VoterSet Voters{1, {"a", "b", "c"}};
+  ControlVmSightings Sightings{"c", {"b", "c", "d"}, {}, {}};
+  Sightings.Uptime = std::chrono::seconds(60);
+  const VoterWatchLimits Limits;
+  Sightings.Silence = {{"a", Limits.GoneTimeout}, {"b", {}}};
+  CHECK_FALSE(proposeVoters(Voters, Sightings, Limits).has_value());
+  Sightings.Silence["a"] += Limits.ProposerDelay;
+  CHECK(proposeVoters(Voters, Sightings, Limits).has_value());
+}
+
+// Guards against proposals that pile up, and compete once a partition has
+// healed.
+TEST_CASE("a VM that hears no majority of the voters proposes nothing") {
+  const VoterSet Voters{1, {"a", "b", "c"}};
+  ControlVmSightings Sightings{"b", {"b", "d"}, {}, {}};
+  Sightings.Uptime = std::chrono::seconds(60);
+  CHECK_FALSE(proposeVoters(Voters, Sightings, {}).has_value());
+  Sightings.Leaving = {"c"};
+  Sightings.Silence = {{"c", {}}};
+  CHECK(proposeVoters(Voters, Sightings, {}).has_value());
+}
+
+// Guards against a majority that is lost with the next VM because a control VM
+// that was stopped for good had kept its vote until its end.
+TEST_CASE("a control VM that stops hands its vote to a spare one") {
+  for (uint64_t Seed = 1; Seed <= 10; ++Seed) {
+    CAPTURE(Seed);
+    VoterExchange Exchange(3, Seed);
+    REQUIRE(Exchange.put("v2", {7, "seven"}));
+    Exchange.run(CatchUpTime);
+    Exchange.add("n0");
+    Exchange.run(SuccessorDelay);
+    Exchange.drain("v0");
+    Exchange.run(CatchUpTime - SuccessorDelay);
+    Exchange.stop("v0", true);
+    Exchange.stop("v1", true);
+    CHECK(Exchange.put("n0", {8, "eight"}));
+    CHECK(Exchange.read("v2") == VersionedDocument{8, "eight"});
+    CHECK(Exchange.Network.Violations == std::vector<std::string>{});
+  }
+}
+
 // Guards against a configuration that no majority can read any more after two
 // control VMs were exchanged, the second one when the first successor had
 // caught up.
