Install new voters only once a majority of them can vote

A proposer had a new voter set accepted although most of its members did not vote yet (empty newcomers). An accepted set has to be satisfied by every later round, and the recovery of the newcomers is such a round: no majority was possible any more, for good, with all VMs up.

The new voters are asked for their promise in the first phase, and the set is installed only if a majority of them has promised. A round that does nothing else waits for them until it times out; changes of the document do not wait.

--- a/src/versionregister/internal/proposer.cpp
+++ b/src/versionregister/internal/proposer.cpp
@@ -6,6 +6,14 @@
 
 namespace sapphiremoor::detail {
 
+namespace {
+
+bool followsVotersOf(const Round &CurrentRound, const VoterSet &Set) {
+  return Set.Epoch == CurrentRound.Value.Voters.Epoch + 1;
+}
+
+} // namespace
+
 void addVoterSet(Round &CurrentRound, const VoterSet &Set) {
   if (!Set.Voters.empty() && std::ranges::find(CurrentRound.VoterSets, Set) ==
                                  CurrentRound.VoterSets.end())
@@ -20,8 +28,12 @@
 }
 
 std::vector<std::string> takeUncontacted(Round &CurrentRound) {
+  std::vector<VoterSet> Sets = CurrentRound.VoterSets;
+  for (const Operation &Op : CurrentRound.Operations)
+    if (Op.Voters)
+      Sets.push_back(*Op.Voters);
   std::vector<std::string> Voters;
-  for (const VoterSet &Set : CurrentRound.VoterSets)
+  for (const VoterSet &Set : Sets)
     for (const std::string &Voter : Set.Voters)
       if (CurrentRound.Contacted.insert(Voter).second)
         Voters.push_back(Voter);
@@ -44,11 +56,21 @@
   return true;
 }
 
+bool waitsForNewVoters(const Round &CurrentRound) {
+  return !CurrentRound.Operations.empty() &&
+         std::ranges::all_of(
+             CurrentRound.Operations, [&CurrentRound](const Operation &Op) {
+               return Op.Voters && followsVotersOf(CurrentRound, *Op.Voters) &&
+                      !isMajority(*Op.Voters, CurrentRound.Prepared);
+             });
+}
+
 void applyOperations(Round &CurrentRound) {
   for (const Operation &Op : CurrentRound.Operations) {
     if (Op.Put && Op.Put->Version > CurrentRound.Value.Document.Version)
       CurrentRound.Value.Document = *Op.Put;
-    if (Op.Voters && Op.Voters->Epoch == CurrentRound.Value.Voters.Epoch + 1) {
+    if (Op.Voters && followsVotersOf(CurrentRound, *Op.Voters) &&
+        isMajority(*Op.Voters, CurrentRound.Prepared)) {
       CurrentRound.Value.Voters = *Op.Voters;
       addVoterSet(CurrentRound, *Op.Voters);
     }
--- a/src/versionregister/internal/proposer.h
+++ b/src/versionregister/internal/proposer.h
@@ -54,16 +54,22 @@
 bool hasMajorityInAllSets(const Round &CurrentRound,
                           const std::set<std::string> &Answered);
 
-/// Returns all voters of \p CurrentRound that were not contacted yet, and marks
-/// them as contacted.
+/// Returns all voters of \p CurrentRound, and those that its operations
+/// install, that were not contacted yet, and marks them as contacted.
 std::vector<std::string> takeUncontacted(Round &CurrentRound);
 
 /// Records a promise. Returns false if the reply is late or a refusal.
 bool recordPromise(Round &CurrentRound, const std::string &Sender,
                    const PrepareReply &Reply);
 
+/// Returns true if \p CurrentRound only installs voters and no majority of them
+/// has promised yet.
+bool waitsForNewVoters(const Round &CurrentRound);
+
 /// Applies the operations of \p CurrentRound to its newest value, which is then
-/// proposed.
+/// proposed. Voters are installed only if a majority of them has promised: a
+/// set that is accepted without being able to vote would block all later
+/// rounds.
 void applyOperations(Round &CurrentRound);
 
 } // namespace sapphiremoor::detail
--- a/src/versionregister/internal/registernode.cpp
+++ b/src/versionregister/internal/registernode.cpp
@@ -141,7 +141,7 @@
     return;
   if (CurrentRound->Recovering)
     adoptRecoveredState(Now);
-  else
+  else if (!detail::waitsForNewVoters(*CurrentRound))
     startAcceptPhase();
 }
 
