Do not take undecided voters for the current ones after a restart

A voter that had accepted a change of the voters, and was restarted before it was decided, took the new set for the current one and asked only for its majority. Voters that were exchanged before and came back with an old disk could complete that majority, and two sets decided independently: two bodies for one version, or an older version read.

The state of a voter now holds the voters of the newest decided value as well, and a restart begins with those; a state of an earlier release is read as before.

--- a/src/cluster/internal/registerservice.cpp
+++ b/src/cluster/internal/registerservice.cpp
@@ -3,6 +3,7 @@
 #include "framework/codec/serial.h"
 #include "framework/core/random.h"
 #include "framework/eventlog/eventlog.h"
+#include "versionregister/storedstate.h"
 #include "versionregister/voterset.h"
 
 #include <algorithm>
@@ -52,8 +53,7 @@
   OpenedLog Opened = takeValue(std::move(OpenResult));
   RegisterStart Start{describe(Settings.AdvertisedPeer), {}, {}};
   if (Opened.Recovered.State) {
-    Result<AcceptorState> State =
-        decode<AcceptorState>(*Opened.Recovered.State);
+    Result<AcceptorState> State = decodeStoredState(*Opened.Recovered.State);
     if (isError(State))
       return errorOf(State);
     Start.StoredState = takeValue(std::move(State));
--- a/src/versionregister/internal/registernode.cpp
+++ b/src/versionregister/internal/registernode.cpp
@@ -18,7 +18,10 @@
   if (Start.StoredState) {
     State = *Start.StoredState;
     Voting = true;
-    Voters = State.Value.Voters;
+    // A change of the voters that is not decided must not count before a round
+    // has decided it.
+    Voters = State.ChosenVoters.Voters.empty() ? State.Value.Voters
+                                               : State.ChosenVoters;
     HighestRound = State.Promised.Round;
     // Chosen is stored after Accepted and may be older. Then the accepted value
     // is not known to be chosen.
@@ -33,6 +36,7 @@
   if (!Voting)
     return;
   State.Value.Voters = Voters;
+  State.ChosenVoters = Voters;
   // Without a stored state, a restart would be mistaken for a lost disk.
   store();
 }
@@ -264,6 +268,7 @@
   State.Promised = CurrentRound->RoundBallot;
   State.Accepted = CurrentRound->Newest;
   State.Value = CurrentRound->Value;
+  State.ChosenVoters = Voters;
   Voting = true;
   store();
   CurrentRound.reset();
@@ -302,9 +307,13 @@
   NewestChosen = Chosen;
   if (Chosen.Value.Voters.Epoch >= Voters.Epoch)
     Voters = Chosen.Value.Voters;
-  if (Voting && State.Accepted == Chosen.ChosenBallot) {
-    State.Chosen = Chosen.ChosenBallot;
-    store();
+  if (Voting) {
+    const AcceptorState Previous = State;
+    State.ChosenVoters = Voters;
+    if (State.Accepted == Chosen.ChosenBallot)
+      State.Chosen = Chosen.ChosenBallot;
+    if (State != Previous)
+      store();
   }
   Effects.emplace_back(ValueChosen{Chosen.Value});
 }
--- a/src/versionregister/tests/register_test.cpp
+++ b/src/versionregister/tests/register_test.cpp
@@ -149,11 +149,10 @@
 // example after restarts in the middle of a change of the voters.
 TEST_CASE("random changes of the voters never lose or reverse a version") {
   constexpr uint64_t RandomSeeds = 150;
-  // A read returned an older version than one that had been decided.
-  constexpr uint64_t RegressionSeed = 880;
   std::vector<uint64_t> Seeds(RandomSeeds);
   std::iota(Seeds.begin(), Seeds.end(), 1);
-  Seeds.push_back(RegressionSeed);
+  // Seeds with which restarted voters decided without the others.
+  Seeds.insert(Seeds.end(), {1434, 2315, 6707, 16806});
   for (const uint64_t Seed : Seeds) {
     CAPTURE(Seed);
     RegisterNetwork Network(3, Seed);
--- a/src/versionregister/tests/registernetwork.cpp
+++ b/src/versionregister/tests/registernetwork.cpp
@@ -36,16 +36,16 @@
 
 void RegisterNetwork::step() {
   Now += StepDuration;
-  if (Rng() % 3 == 0)
-    sync();
-  else
-    deliver();
+  for (std::size_t Count = 0; Count < EventsPerStep; ++Count)
+    if (Rng() % 3 == 0)
+      sync();
+    else
+      deliver();
   const std::string &Name = Names[Rng() % Names.size()];
   if (isDown(Name))
     return;
   node(Name).tick(Now);
-  const bool RequestsChosen =
-      !node(Name).chosen() || (RequestsNewerValues && Rng() % 8 == 0);
+  const bool RequestsChosen = !node(Name).chosen() || RequestsNewerValues;
   if (RequestsChosen && Rng() % 8 == 0)
     Messages.push_back({Name, Names[Rng() % Names.size()], ChosenRequest{}});
   processEffects(Name);
--- a/src/versionregister/tests/registernetwork.h
+++ b/src/versionregister/tests/registernetwork.h
@@ -37,6 +37,8 @@
 
   /// Share of messages that are lost.
   double LossShare = 0;
+  /// Messages that are delivered and disks that are synced in a step.
+  std::size_t EventsPerStep = 1;
   /// True if nodes that know a chosen value keep asking for a newer one.
   bool RequestsNewerValues = false;
   Instant Now;
--- a/src/versionregister/tests/voterexchange.cpp
+++ b/src/versionregister/tests/voterexchange.cpp
@@ -2,6 +2,8 @@
 
 #include "versionregister/voterset.h"
 
+#include <algorithm>
+
 namespace sapphiremoor {
 
 namespace {
@@ -9,6 +11,9 @@
 /// Steps of the simulated network per check of the voters, 200 ms.
 constexpr std::size_t StepsPerCheck = 100;
 
+/// Fast enough for several concurrent rounds of five voters.
+constexpr std::size_t EventsPerStep = 6;
+
 /// Steps of the simulated network within which an operation ends, 1.2 s.
 constexpr std::size_t StepsPerOperation = 600;
 
@@ -18,8 +23,9 @@
     : Network(Voters, Seed) {
   Limits.TargetSize = Voters;
   Network.RequestsNewerValues = true;
+  Network.EventsPerStep = EventsPerStep;
   for (const std::string &Name : Network.Names)
-    StartedAt[Name] = LastUp[Name] = Network.Now;
+    StartedAt[Name] = LastHeard[Name] = Network.Now;
 }
 
 void VoterExchange::run(Duration Time) {
@@ -32,12 +38,13 @@
 
 void VoterExchange::add(const std::string &Name) {
   Network.add(Name);
-  StartedAt[Name] = LastUp[Name] = Network.Now;
+  StartedAt[Name] = LastHeard[Name] = Network.Now;
 }
 
 void VoterExchange::stop(const std::string &Name, bool WipeDisk) {
-  LastUp[Name] = Network.Now;
+  LastHeard[Name] = Network.Now;
   Draining.erase(Name);
+  StartupReads.erase(Name);
   Network.crash(Name, WipeDisk);
 }
 
@@ -46,26 +53,57 @@
   StartedAt[Name] = Network.Now;
 }
 
+void VoterExchange::setCut(const std::string &Name, bool IsCut) {
+  LastHeard[Name] = Network.Now;
+  Network.setCut(Name, IsCut);
+  if (IsCut)
+    Cut.insert(Name);
+  else
+    Cut.erase(Name);
+}
+
+bool VoterExchange::hears(const std::string &Self,
+                          const std::string &Name) const {
+  const bool Connected = !Cut.contains(Self) && !Cut.contains(Name);
+  return Self == Name || (Connected && !Network.isDown(Name));
+}
+
 ControlVmSightings VoterExchange::sightings(const std::string &Self) const {
   ControlVmSightings Sightings;
   Sightings.Self = Self;
   Sightings.Uptime = Network.Now - StartedAt.at(Self);
   Sightings.SinceExchange = Sightings.Uptime;
   for (const std::string &Name : Network.Names) {
-    if (!Network.isDown(Name)) {
+    // A VM that is cut off hears the others last when it is heard last itself.
+    const Instant Heard = Cut.contains(Self)
+                              ? std::min(LastHeard.at(Name), LastHeard.at(Self))
+                              : LastHeard.at(Name);
+    if (hears(Self, Name)) {
       Sightings.Silence[Name] = {};
       (Draining.contains(Name) ? Sightings.Leaving : Sightings.Live)
           .insert(Name);
-    } else if (LastUp.at(Name) >= StartedAt.at(Self)) {
-      Sightings.Silence[Name] = Network.Now - LastUp.at(Name);
+    } else if (Heard >= StartedAt.at(Self)) {
+      Sightings.Silence[Name] = Network.Now - Heard;
     }
   }
   return Sightings;
 }
 
+void VoterExchange::readAtStart(const std::string &Name) {
+  const RegisterNode &Node = Network.node(Name);
+  const auto It = StartupReads.find(Name);
+  const bool IsReading = It != StartupReads.end() &&
+                         !Network.EndedOperations.contains({Name, It->second});
+  if (!Node.chosen() && !Node.voters().Voters.empty() && !IsReading)
+    StartupReads[Name] = Network.read(Name);
+}
+
 void VoterExchange::checkVoters() {
   for (const std::string &Name : Network.Names) {
-    if (Network.isDown(Name) || !Network.node(Name).chosen() ||
+    if (Network.isDown(Name))
+      continue;
+    readAtStart(Name);
+    if (!Network.node(Name).chosen() ||
         !isVoter(Network.node(Name).voters(), Name))
       continue;
     const auto Proposal =
--- a/src/versionregister/tests/voterexchange.h
+++ b/src/versionregister/tests/voterexchange.h
@@ -24,6 +24,8 @@
   /// Ends the process of a VM; with \p WipeDisk its disk is lost too.
   void stop(const std::string &Name, bool WipeDisk = false);
   void restart(const std::string &Name);
+  /// Cuts all links of a VM, or restores them.
+  void setCut(const std::string &Name, bool IsCut);
   /// Announces that a VM is about to stop.
   void drain(const std::string &Name) { Draining.insert(Name); }
 
@@ -36,12 +38,18 @@
   RegisterNetwork Network;
 
 private:
+  /// Reads the newest value at a VM that knows none.
+  void readAtStart(const std::string &Name);
   void checkVoters();
+  bool hears(const std::string &Self, const std::string &Name) const;
 
   VoterWatchLimits Limits;
   std::map<std::string, Instant> StartedAt;
-  std::map<std::string, Instant> LastUp;
+  /// Time at which the others heard a VM last.
+  std::map<std::string, Instant> LastHeard;
   std::set<std::string> Draining;
+  std::set<std::string> Cut;
+  std::map<std::string, uint64_t> StartupReads;
 };
 
 } // namespace sapphiremoor
--- a/src/versionregister/tests/voterexchange_test.cpp
+++ b/src/versionregister/tests/voterexchange_test.cpp
@@ -18,6 +18,50 @@
 /// one, if it is restarted at once.
 constexpr Duration RestartTime = std::chrono::milliseconds(1200);
 
+/// Lets one random loss happen to \p Vms and end again.
+void loseAndRecover(VoterExchange &Exchange, std::vector<std::string> &Vms,
+                    uint64_t Number, Random &Rng) {
+  enum class Loss { Exchange, PlannedExchange, Restart, Wipe, Cut, AllPower };
+  constexpr uint64_t LossKinds = 6;
+  std::string &Victim = Vms[Rng() % Vms.size()];
+  const std::string Successor = "w" + std::to_string(Number);
+  const auto Duration = std::chrono::milliseconds(500 + Rng() % 5000);
+  switch (static_cast<Loss>(Rng() % LossKinds)) {
+  case Loss::Exchange:
+    Exchange.stop(Victim, true);
+    Exchange.run(SuccessorDelay);
+    Exchange.add(Successor);
+    Victim = Successor;
+    return;
+  case Loss::PlannedExchange:
+    Exchange.add(Successor);
+    Exchange.run(SuccessorDelay);
+    Exchange.drain(Victim);
+    Exchange.run(SuccessorDelay);
+    Exchange.stop(Victim, true);
+    Victim = Successor;
+    return;
+  case Loss::Restart:
+  case Loss::Wipe:
+    Exchange.stop(Victim, Rng() % 2 == 0);
+    Exchange.run(Duration);
+    Exchange.restart(Victim);
+    return;
+  case Loss::Cut:
+    Exchange.setCut(Victim, true);
+    Exchange.run(Duration);
+    Exchange.setCut(Victim, false);
+    return;
+  case Loss::AllPower:
+    for (const std::string &Name : Vms)
+      Exchange.stop(Name, Name == Victim);
+    Exchange.run(Duration);
+    for (const std::string &Name : Vms)
+      Exchange.restart(Name);
+    return;
+  }
+}
+
 } // namespace
 
 // Guards against a voter that stays one after its successor had the time to
@@ -154,3 +198,27 @@
     CHECK(Exchange.Network.Violations == std::vector<std::string>{});
   }
 }
+
+// Guards against a loss of the register after any series of losses that the
+// deployment has to bear, each of which comes when the one before is over.
+TEST_CASE("random tolerated losses keep the configuration") {
+  for (uint64_t Seed = 1; Seed <= 25; ++Seed) {
+    CAPTURE(Seed);
+    VoterExchange Exchange(Seed % 2 == 0 ? 3 : 5, Seed);
+    const bool HasSpare = Seed % 3 == 0;
+    if (HasSpare)
+      Exchange.add("spare");
+    std::vector<std::string> Vms = Exchange.Network.Names;
+    Random Rng(Seed);
+    Exchange.run(CatchUpTime);
+    for (uint64_t Version = 1; Version <= 20; ++Version) {
+      CAPTURE(Version);
+      loseAndRecover(Exchange, Vms, Version, Rng);
+      Exchange.run(CatchUpTime);
+      const VersionedDocument Document{Version, "v" + std::to_string(Version)};
+      REQUIRE(Exchange.put(Vms[Rng() % Vms.size()], Document));
+      REQUIRE(Exchange.read(Vms[Rng() % Vms.size()]) == Document);
+      REQUIRE(Exchange.Network.Violations == std::vector<std::string>{});
+    }
+  }
+}
--- a/src/versionregister/types/acceptorstate.h
+++ b/src/versionregister/types/acceptorstate.h
@@ -13,11 +13,14 @@
   RegisterValue Value;
   /// The highest ballot known to be chosen. It is at most Accepted.
   Ballot Chosen;
+  /// The newest voters known to be chosen. The voters in Value may be newer and
+  /// not decided. Empty in a state that an earlier release stored.
+  VoterSet ChosenVoters = {};
 
   auto operator<=>(const AcceptorState &) const = default;
 
   template <typename Archive> void serialize(Archive &Ar) {
-    Ar(Promised, Accepted, Value, Chosen);
+    Ar(Promised, Accepted, Value, Chosen, ChosenVoters);
   }
 };
 
