Ask for all values that are newer than those a round started from

A round that learned of a newer decided value while it ran told the voters that it met later, those of a new voter set, that it knew this value.

A round names the value that it started from to all voters. "a round asks for all values that are newer than its own" failed before.

--- a/src/versionregister/internal/proposer.h
+++ b/src/versionregister/internal/proposer.h
@@ -35,6 +35,9 @@
   std::set<std::string> Contacted;
   std::set<std::string> Prepared;
   std::set<std::string> Accepted;
+  /// Ballot of the chosen value that the round started from. Voters that have
+  /// accepted it omit the value in their replies.
+  Ballot KnownBallot;
   Ballot Newest;
   RegisterValue Value;
   /// Operations that this round decides.
--- a/src/versionregister/internal/registernode.cpp
+++ b/src/versionregister/internal/registernode.cpp
@@ -241,6 +241,7 @@
                                     PendingOperations.end());
   detail::addVoterSet(*CurrentRound, Voters);
   if (NewestChosen) {
+    CurrentRound->KnownBallot = NewestChosen->ChosenBallot;
     CurrentRound->Newest = NewestChosen->ChosenBallot;
     CurrentRound->Value = NewestChosen->Value;
   } else {
@@ -250,10 +251,9 @@
 }
 
 void RegisterNode::sendPrepares() {
-  const Ballot KnownBallot =
-      NewestChosen ? NewestChosen->ChosenBallot : Ballot{};
   for (const std::string &Voter : detail::takeUncontacted(*CurrentRound))
-    send(Voter, PrepareRequest{CurrentRound->RoundBallot, KnownBallot});
+    send(Voter,
+         PrepareRequest{CurrentRound->RoundBallot, CurrentRound->KnownBallot});
 }
 
 void RegisterNode::startAcceptPhase() {
--- a/src/versionregister/tests/register_test.cpp
+++ b/src/versionregister/tests/register_test.cpp
@@ -193,6 +193,36 @@
   }
 }
 
+// Guards against a round that misses a decided value because it learned of a
+// newer one while it ran: a voter omits a value that the proposer has.
+TEST_CASE("a round asks for all values that are newer than its own") {
+  const VoterSet Voters{1, {"a", "b", "c"}};
+  const VoterSet NewVoters{2, {"a", "b", "d"}};
+  const Ballot Stored{1, "a"};
+  const Ballot Newer{2, "b"};
+  RegisterStart Start{"a", AcceptorState{}, {}};
+  Start.StoredState =
+      AcceptorState{Stored, Stored, {{1, "one"}, Voters}, Stored, Voters};
+  RegisterNode Node(Start, RegisterLimits{}, 1);
+  const Instant Now;
+  Node.put({3, "three"}, Now);
+  const Ballot Round{2, "a"};
+  Node.receive("b", ChosenValue{Newer, {{2, "two"}, NewVoters}}, Now);
+  Node.receive(
+      "b",
+      PrepareReply{Round, Round, Newer, RegisterValue{{2, "two"}, NewVoters}},
+      Now);
+  std::vector<PrepareRequest> Requests;
+  for (const RegisterEffect &Effect : Node.takeEffects())
+    if (const auto *Send = std::get_if<SendToVoter>(&Effect);
+        Send != nullptr && Send->Receiver == "d")
+      if (const auto *Request = std::get_if<PrepareRequest>(&Send->Message))
+        Requests.push_back(*Request);
+  REQUIRE(Requests.size() == 1);
+  CHECK(Requests.front().RoundBallot == Round);
+  CHECK(Requests.front().KnownBallot == Stored);
+}
+
 // Guards against an unresponsive voter that is never replaced.
 TEST_CASE("a live VM replaces an unresponsive voter") {
   const VoterSet Current{4, {"a", "b", "c"}};
