Dial the stored voters after a restart, not only the seeds

After a loss of all power a control VM dialled only the seeds of its settings, though its disk names the voters. Where the settings name only VMs that are gone, the control VMs never found each other: no configuration, no service.

A control VM also dials the voters that it does not know as members, until it knows them or they are replaced.

--- a/src/cluster/clusterbus.h
+++ b/src/cluster/clusterbus.h
@@ -37,6 +37,10 @@
   /// Dials further seeds, in addition to those of the settings.
   void addSeeds(const std::vector<Endpoint> &NewSeeds);
 
+  /// Dials \p NewVoters too until they are known as members, in place of those
+  /// of the last call. The seeds may be outdated after a restart.
+  void setVoters(std::set<Endpoint> NewVoters);
+
   /// Returns false if there is no link to the VM.
   bool send(const std::string &PeerName, const ClusterMessage &Message);
   /// Sends to each linked VM with the role \p Role.
@@ -60,6 +64,7 @@
   void sendHeartbeat();
   MemberInfo selfInfo() const;
   void dialControlVms();
+  void dialUnknownVoters();
 
   EventLoop &Loop;
   const ClusterSettings &Settings;
@@ -69,6 +74,7 @@
   PeerMesh Mesh;
   Timer HeartbeatTimer;
   std::set<Endpoint> Seeds;
+  std::set<Endpoint> Voters;
   bool Draining = false;
 };
 
--- a/src/cluster/internal/clusterbus.cpp
+++ b/src/cluster/internal/clusterbus.cpp
@@ -4,6 +4,7 @@
 #include "framework/eventlog/eventlog.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace sapphiremoor {
 
@@ -66,6 +67,14 @@
       Mesh.dial(Seed);
 }
 
+void ClusterBus::setVoters(std::set<Endpoint> NewVoters) {
+  for (const Endpoint &Voter : Voters)
+    if (!NewVoters.contains(Voter) && !Seeds.contains(Voter) &&
+        View.findByAddress(describe(Voter)) == nullptr)
+      Mesh.stopDialling(Voter);
+  Voters = std::move(NewVoters);
+}
+
 bool ClusterBus::send(const std::string &PeerName,
                       const ClusterMessage &Message) {
   return Mesh.send(PeerName, encode(Message));
@@ -129,6 +138,7 @@
   const Instant Now = Loop.now();
   View.expire(Now);
   dialControlVms();
+  dialUnknownVoters();
   ClusterHeartbeat Message;
   Message.Self = selfInfo();
   Message.ControlSightings = View.controlSightings(Now);
@@ -145,10 +155,18 @@
     if (View.isLive(Member.Id.Name, Now))
       Mesh.dial(Member.PeerEndpoint);
     else if (!Seeds.contains(Member.PeerEndpoint) &&
+             !Voters.contains(Member.PeerEndpoint) &&
              View.silenceDuration(Member.Id.Name, Now) >
                  std::chrono::seconds(30))
       Mesh.stopDialling(Member.PeerEndpoint);
   }
 }
 
+void ClusterBus::dialUnknownVoters() {
+  for (const Endpoint &Voter : Voters)
+    if (Voter != Settings.AdvertisedPeer &&
+        View.findByAddress(describe(Voter)) == nullptr)
+      Mesh.dial(Voter);
+}
+
 } // namespace sapphiremoor
--- a/src/cluster/internal/registerservice.cpp
+++ b/src/cluster/internal/registerservice.cpp
@@ -1,5 +1,6 @@
 #include "cluster/registerservice.h"
 
+#include "cluster/clustersettingsfile.h"
 #include "framework/codec/serial.h"
 #include "framework/core/random.h"
 #include "framework/eventlog/eventlog.h"
@@ -75,6 +76,7 @@
       });
   Node =
       std::make_unique<RegisterNode>(Start, RegisterLimits{}, secureRandom64());
+  announceVoters();
   run();
   if (Node->chosen())
     OnChosen(Node->chosen()->Value);
@@ -130,12 +132,24 @@
              {{"version", std::to_string(Chosen->Value.Document.Version)},
               {"voters_epoch", std::to_string(Chosen->Value.Voters.Epoch)}});
     if (std::exchange(KnownEpoch, Chosen->Value.Voters.Epoch) !=
-        Chosen->Value.Voters.Epoch)
+        Chosen->Value.Voters.Epoch) {
       ExchangedAt = Loop.now();
+      announceVoters();
+    }
     OnChosen(Chosen->Value);
   }
 }
 
+void RegisterService::announceVoters() {
+  std::set<Endpoint> Endpoints;
+  for (const std::string &Voter : Node->voters().Voters) {
+    const Result<Endpoint> Parsed = parseEndpoint(Voter);
+    if (!isError(Parsed))
+      Endpoints.insert(valueOf(Parsed));
+  }
+  Bus.setVoters(std::move(Endpoints));
+}
+
 void RegisterService::sendToVoter(const SendToVoter &Message) {
   if (Message.Receiver == describe(Settings.AdvertisedPeer)) {
     Loop.post([this, Content = Message.Message] {
--- a/src/cluster/registerservice.h
+++ b/src/cluster/registerservice.h
@@ -44,6 +44,8 @@
 private:
   void run();
   void perform(const RegisterEffect &Effect);
+  /// Has the bus dial the voters.
+  void announceVoters();
   void sendToVoter(const SendToVoter &Message);
   void handleStorageReplies(const std::vector<StorageReply> &Replies);
   void handleOperationEnd(const OperationEnded &Effect);
