Let only a complete copy say that a job is not stored

A control VM that gets the end of a task of a job that its copy lacks asks the voters, and acknowledges the end if a majority has no such job. An empty VM that had become a voter and did not know it yet answered like a complete copy, so the end of a stored job's task could be acknowledged and lost.

JobCopy answers LocateJob itself, and only if it is complete; before, every VM answered unless it knew that it was a voter that rebuilds its copy.

--- a/src/cluster/internal/jobstoreends.cpp
+++ b/src/cluster/internal/jobstoreends.cpp
@@ -129,26 +129,19 @@
         acknowledgeEnd(EndId, Superseded);
       }))
     return true;
-  const std::string WriterName = Record == nullptr
-                                     ? std::exchange(Pending.WriterName, {})
-                                     : partitionWriter(Record->Partition);
+  const std::string WriterName =
+      Record == nullptr ? std::exchange(Pending.WriterName, {})
+                        : LocalCopy->partitionWriter(Record->Partition);
   if (const auto Vm = findLiveVm(WriterName); Vm && *Vm != Bus.self().Name)
     Bus.send(*Vm, JobStoreMessage(Notice));
   return false;
 }
 
-JobLocation JobStoreService::locateJob(const std::string &Job) const {
-  const JobRecord *Record = LocalCopy->find(Job);
-  if (Record == nullptr)
-    return {Job, false, {}};
-  return {Job, true, partitionWriter(Record->Partition)};
-}
-
 void JobStoreService::askVotersForJob(PendingEnd &Pending) {
   const std::string &Job = Pending.Report.Task.Job;
   for (const std::string &Voter : Configuration.voters().Voters) {
     if (Voter == describe(Settings.AdvertisedPeer)) {
-      if (!LocalCopy->rebuilding())
+      if (LocalCopy->isComplete())
         Pending.VotersWithoutJob.insert(Voter);
       continue;
     }
--- a/src/cluster/internal/jobstoreservice.cpp
+++ b/src/cluster/internal/jobstoreservice.cpp
@@ -132,9 +132,6 @@
     handlePeerRunEnd(Sender, *Notice);
   else if (const auto *EndStored = std::get_if<RunEndStored>(&Message))
     handleRunEndStored(*EndStored);
-  else if (const auto *Request = std::get_if<LocateJob>(&Message);
-           Request != nullptr && !LocalCopy->rebuilding())
-    Bus.send(Sender.Name, JobStoreMessage(locateJob(Request->Job)));
   else if (const auto *Location = std::get_if<JobLocation>(&Message))
     handleJobLocation(SenderAddress, *Location);
   LocalCopy->receive(SenderAddress, Message, Loop.now());
@@ -242,7 +239,7 @@
 }
 
 void JobStoreService::perform(const JobHeldElsewhere &Effect) {
-  const auto Vm = findLiveVm(partitionWriter(Effect.Partition));
+  const auto Vm = findLiveVm(LocalCopy->partitionWriter(Effect.Partition));
   if (Vm && *Vm != Bus.self().Name)
     answerWaitingRequests(Effect.Id, JobResult::NotRun, JobReason::Redirected,
                           *Vm);
@@ -362,13 +359,6 @@
   Dispatch.dispatcher().setStoredLeaseEnd(Writer.writerLeaseEnd());
 }
 
-std::string
-JobStoreService::partitionWriter(const std::string &Partition) const {
-  const Ballot Promised = LocalCopy->promisedBallot(Partition);
-  return Promised.Proposer.empty() ? partitionOpener(Partition)
-                                   : Promised.Proposer;
-}
-
 std::optional<std::string>
 JobStoreService::findLiveVm(const std::string &WriterName) const {
   const MemberInfo *Member =
@@ -392,7 +382,7 @@
   // can tell that their ends are durable.
   for (const auto &[Partition, Promised] : LocalCopy->partitions()) {
     if (Writer.ownsOrClaims(Partition) ||
-        findLiveVm(partitionWriter(Partition))) {
+        findLiveVm(LocalCopy->partitionWriter(Partition))) {
       WriterGoneSince.erase(Partition);
       continue;
     }
@@ -402,15 +392,16 @@
         std::ranges::max_element(LiveVms, {}, [&](const MemberInfo &Member) {
           return rendezvousWeight(Partition, Member.Id.Name);
         });
-    const Duration TakeoverDelay = partitionWriter(Partition) == Writer.name()
-                                       ? OwnLossTimeout
-                                       : WriterGoneTimeout;
+    const Duration TakeoverDelay =
+        LocalCopy->partitionWriter(Partition) == Writer.name()
+            ? OwnLossTimeout
+            : WriterGoneTimeout;
     if (Now - Since < TakeoverDelay || PreferredIt == LiveVms.end() ||
         PreferredIt->Id.Name != Bus.self().Name)
       continue;
     logEvent(events::JobsTakenOver,
              {{"partition", Partition},
-              {"former_writer", partitionWriter(Partition)}});
+              {"former_writer", LocalCopy->partitionWriter(Partition)}});
     Writer.claim(Partition, Promised, Now);
   }
 }
--- a/src/cluster/jobstoreservice.h
+++ b/src/cluster/jobstoreservice.h
@@ -96,12 +96,9 @@
   void askVotersForJob(PendingEnd &Pending);
   void handleJobLocation(const std::string &Address,
                          const JobLocation &Location);
-  JobLocation locateJob(const std::string &Job) const;
   /// Returns true if a majority of the voters is reachable.
   bool majorityReachable() const;
   JobStatus jobStatus(const std::string &Job) const;
-  /// Returns the writer of a partition as far as the local copy knows.
-  std::string partitionWriter(const std::string &Partition) const;
   /// Returns the name of the writer's VM if the writer's process is live.
   std::optional<std::string> findLiveVm(const std::string &WriterName) const;
   /// Claims the partitions whose writer is gone and for which this VM is
--- a/src/jobstore/internal/jobcopy.cpp
+++ b/src/jobstore/internal/jobcopy.cpp
@@ -1,5 +1,6 @@
 #include "jobstore/jobcopy.h"
 
+#include "jobstore/jobwriter.h"
 #include "versionregister/voterset.h"
 
 #include <algorithm>
@@ -123,6 +124,12 @@
   return It == State.Promises.end() ? Ballot{} : It->second;
 }
 
+std::string JobCopy::partitionWriter(const std::string &Partition) const {
+  const Ballot Promised = promisedBallot(Partition);
+  return Promised.Proposer.empty() ? partitionOpener(Partition)
+                                   : Promised.Proposer;
+}
+
 bool JobCopy::rebuilding() const {
   return !State.Status.Complete && isVoter(Voters, Self);
 }
@@ -289,6 +296,17 @@
     requestPages(Now);
 }
 
+void JobCopy::handle(const std::string &Sender, const LocateJob &Request,
+                     Instant) {
+  if (!isComplete())
+    return;
+  const JobRecord *Job = find(Request.Job);
+  JobLocation Location{Request.Job, Job != nullptr, {}};
+  if (Job != nullptr)
+    Location.Writer = partitionWriter(Job->Partition);
+  Effects.emplace_back(SendToCopy{Sender, std::move(Location)});
+}
+
 void JobCopy::checkComplete() {
   if (isMajority(Voters, Rebuild.CompletedVms))
     setComplete(true);
--- a/src/jobstore/jobcopy.h
+++ b/src/jobstore/jobcopy.h
@@ -53,8 +53,13 @@
   const std::map<std::string, Ballot> &partitions() const {
     return State.Promises;
   }
+  /// Returns the writer of a partition as far as this copy knows.
+  std::string partitionWriter(const std::string &Partition) const;
   /// Returns true while this VM is a voter and its copy is incomplete.
   bool rebuilding() const;
+  /// Returns true if this copy has all jobs that are stored. Only such a copy
+  /// can tell that a job is not stored.
+  bool isComplete() const { return State.Status.Complete; }
   const CopyState &state() const { return State; }
 
   std::vector<CopyEffect> takeEffects();
@@ -73,6 +78,7 @@
               Instant Now);
   void handle(const std::string &Sender, const FetchCopy &Request, Instant Now);
   void handle(const std::string &Sender, const CopyPage &Page, Instant Now);
+  void handle(const std::string &Sender, const LocateJob &Request, Instant Now);
   template <typename OtherMessage>
   void handle(const std::string &, const OtherMessage &, Instant) {}
 
