Take over a partition of stored jobs that the preferred VM does not know

Each live voter claims a second later than the one before it, so that another VM steps in. Only VMs with a complete copy claim, since only they are told of other claims.

--- a/src/cluster/internal/jobstoreservice.cpp
+++ b/src/cluster/internal/jobstoreservice.cpp
@@ -17,14 +17,6 @@
 constexpr Duration TickPeriod = std::chrono::milliseconds(25);
 constexpr Duration TakeoverCheckPeriod = std::chrono::milliseconds(200);
 
-/// The jobs of a writer that has been gone for this time are taken over.
-constexpr Duration WriterGoneTimeout = std::chrono::seconds(1);
-
-/// Replaces WriterGoneTimeout for a partition that this VM has lost. The
-/// partition has another writer, whose name is not known here before its first
-/// write. A writer that has not written within this time counts as gone.
-constexpr Duration OwnLossTimeout = std::chrono::seconds(5);
-
 /// A log larger than this is replaced by a snapshot. The limit is a quarter of
 /// the smallest disk, because the log, the old snapshot and the new one have to
 /// fit on it.
@@ -74,7 +66,7 @@
     : Loop(Loop), Settings(Settings), Bus(Bus), Configuration(Configuration),
       Dispatch(Dispatch),
       Writer({}, describe(Settings.AdvertisedPeer), Bus.self().Incarnation),
-      TickTimer(Loop, [this] { tick(); }) {}
+      Takeovers({}), TickTimer(Loop, [this] { tick(); }) {}
 
 Result<Done> JobStoreService::start() {
   auto OpenResult = RecordLog::open(Settings.DataFolder + "/jobs");
@@ -374,30 +366,25 @@
 void JobStoreService::checkTakeovers() {
   const Instant Now = Loop.now();
   // A claim without a majority would only raise the ballot that the writer has
-  // to exceed.
-  if (!majorityReachable())
+  // to exceed. Only complete copies are told of the claims of other VMs.
+  if (!majorityReachable() || !LocalCopy->isComplete())
     return;
-  const std::vector<MemberInfo> LiveVms = Bus.liveControlVms();
+  std::vector<MemberInfo> LiveVoters = Bus.liveControlVms();
+  std::erase_if(LiveVoters, [this](const MemberInfo &Member) {
+    return !isVoter(Configuration.voters(), describe(Member.PeerEndpoint));
+  });
   // Partitions in which all jobs have ended need a writer too: only the writer
   // can tell that their ends are durable.
   for (const auto &[Partition, Promised] : LocalCopy->partitions()) {
     if (Writer.ownsOrClaims(Partition) ||
         findLiveVm(LocalCopy->partitionWriter(Partition))) {
-      WriterGoneSince.erase(Partition);
+      Takeovers.recordWriter(Partition);
       continue;
     }
-    const Instant Since =
-        WriterGoneSince.try_emplace(Partition, Now).first->second;
-    const auto PreferredIt =
-        std::ranges::max_element(LiveVms, {}, [&](const MemberInfo &Member) {
-          return rendezvousWeight(Partition, Member.Id.Name);
-        });
-    const Duration TakeoverDelay =
-        LocalCopy->partitionWriter(Partition) == Writer.name()
-            ? OwnLossTimeout
-            : WriterGoneTimeout;
-    if (Now - Since < TakeoverDelay || PreferredIt == LiveVms.end() ||
-        PreferredIt->Id.Name != Bus.self().Name)
+    const auto Rank = rendezvousRank(Partition, LiveVoters, Bus.self().Name);
+    const bool LostHere =
+        LocalCopy->partitionWriter(Partition) == Writer.name();
+    if (!Rank || !Takeovers.shouldClaim(Partition, *Rank, LostHere, Now))
       continue;
     logEvent(events::JobsTakenOver,
              {{"partition", Partition},
--- a/src/cluster/jobstoreservice.h
+++ b/src/cluster/jobstoreservice.h
@@ -7,6 +7,7 @@
 #include "framework/storage/storagetask.h"
 #include "jobstore/jobcopy.h"
 #include "jobstore/jobwriter.h"
+#include "jobstore/takeoverwatch.h"
 
 #include <functional>
 #include <map>
@@ -101,8 +102,8 @@
   JobStatus jobStatus(const std::string &Job) const;
   /// Returns the name of the writer's VM if the writer's process is live.
   std::optional<std::string> findLiveVm(const std::string &WriterName) const;
-  /// Claims the partitions whose writer is gone and for which this VM is
-  /// preferred.
+  /// Claims the partitions whose writer is gone, unless a preferred VM is
+  /// expected to do so.
   void checkTakeovers();
   void tick();
 
@@ -125,8 +126,7 @@
   /// Ends that were reported while the takeover of their job is in progress, by
   /// job.
   std::multimap<std::string, std::pair<RunEndNotice, EndHandler>> EarlyEnds;
-  /// Time since which the writer of a partition is gone, by partition.
-  std::map<std::string, Instant> WriterGoneSince;
+  TakeoverWatch Takeovers;
   Instant NextTakeoverCheck;
   Timer TickTimer;
 };
--- a/src/discovery/internal/ownership.cpp
+++ b/src/discovery/internal/ownership.cpp
@@ -28,6 +28,21 @@
   return Hash ^ (Hash >> 33);
 }
 
+std::optional<std::size_t> rendezvousRank(const std::string &Key,
+                                          const std::vector<MemberInfo> &Vms,
+                                          const std::string &Name) {
+  const auto HasName = [&Name](const MemberInfo &Vm) {
+    return Vm.Id.Name == Name;
+  };
+  if (std::ranges::none_of(Vms, HasName))
+    return std::nullopt;
+  const uint64_t Weight = rendezvousWeight(Key, Name);
+  return static_cast<std::size_t>(
+      std::ranges::count_if(Vms, [&](const MemberInfo &Vm) {
+        return rendezvousWeight(Key, Vm.Id.Name) > Weight;
+      }));
+}
+
 std::optional<std::string>
 preferredOwner(const std::string &Backend, const std::string &DataCentre,
                const std::vector<MemberInfo> &LiveControls) {
--- a/src/discovery/ownership.h
+++ b/src/discovery/ownership.h
@@ -18,6 +18,12 @@
 preferredOwner(const std::string &Backend, const std::string &DataCentre,
                const std::vector<MemberInfo> &LiveControls);
 
+/// Returns how many of \p Vms precede the VM \p Name for \p Key by rendezvous
+/// weight, or nothing if it is none of them. 0 is the preferred VM.
+std::optional<std::size_t> rendezvousRank(const std::string &Key,
+                                          const std::vector<MemberInfo> &Vms,
+                                          const std::string &Name);
+
 /// Returns the rendezvous weight of the VM \p Name for \p Key.
 uint64_t rendezvousWeight(const std::string &Key, const std::string &Name);
 
--- a/src/discovery/tests/ownership_test.cpp
+++ b/src/discovery/tests/ownership_test.cpp
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 
 #include <map>
+#include <set>
 
 using namespace sapphiremoor;
 
@@ -25,6 +26,18 @@
   CHECK_FALSE(preferredOwner("w1", "nitra", {}).has_value());
 }
 
+// Guards against two VMs that take the same turn, or a turn that nobody takes.
+TEST_CASE("each live VM has its own rank for a key") {
+  const std::vector<MemberInfo> Live{makeControlVm("a", "nitra"),
+                                     makeControlVm("b", "zilina"),
+                                     makeControlVm("c", "trencin")};
+  std::set<std::size_t> Ranks;
+  for (const MemberInfo &Vm : Live)
+    Ranks.insert(rendezvousRank("p", Live, Vm.Id.Name).value());
+  CHECK(Ranks == std::set<std::size_t>{0, 1, 2});
+  CHECK_FALSE(rendezvousRank("p", Live, "d").has_value());
+}
+
 // Guards against a change of one VM that moves the backend servers of others.
 TEST_CASE("the loss of one VM moves only its own backend servers, evenly") {
   std::vector<MemberInfo> Live;
