--- a/src/framework/storage/internal/storagetask.cpp
+++ b/src/framework/storage/internal/storagetask.cpp
@@ -121,7 +121,8 @@
   Result<Done> Outcome = Log->sync();
   if (isError(Outcome))
     return Outcome;
-  const std::optional<std::string> State = std::exchange(PendingState, {});
+  std::optional<std::string> State;
+  State.swap(PendingState);
   return State ? Log->replaceState(*State) : Result<Done>(Done{});
 }
 
