--- a/src/jobstore/takeoverwatch.h
+++ b/src/jobstore/takeoverwatch.h
@@ -9,6 +9,7 @@
 
 namespace sapphiremoor {
 
+/// Time limits of a TakeoverWatch.
 struct TakeoverLimits {
   /// The jobs of a writer that has been gone for this time are taken over.
   Duration WriterGoneTimeout = std::chrono::seconds(1);
