Write a backtrace before a process ends by a fatal signal

Callers saw: nothing of this change. Operators saw a process that ended with code 139 and no line that told where. Cause: no handler for fatal signals. Change: installCrashReport() writes signal, address and backtrace to standard error, on a stack of its own, and lets the default action end the process.

--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -1,9 +1,11 @@
 #include "app/commands.h"
+#include "framework/core/crashreport.h"
 
 #include <CLI/CLI.hpp>
 
 int main(int Argc, char **Argv) {
   using namespace sapphiremoor;
+  installCrashReport();
   CLI::App Root{"Dispatcher for sub-second tasks.", "sapphiremoor"};
   Root.set_version_flag("--version", SAPPHIREMOOR_VERSION);
   Root.require_subcommand(1);
--- a/src/framework/core/tests/core_test.cpp
+++ b/src/framework/core/tests/core_test.cpp
@@ -1,3 +1,4 @@
+#include "framework/core/crashreport.h"
 #include "framework/core/error.h"
 #include "framework/core/random.h"
 #include "framework/core/result.h"
@@ -5,6 +6,13 @@
 
 #include <doctest/doctest.h>
 
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <csignal>
+
 using namespace sapphiremoor;
 
 TEST_CASE("an error names its kind, message and remedy") {
@@ -29,3 +37,30 @@
 TEST_CASE("secure random values differ") {
   CHECK(secureRandom64() != secureRandom64());
 }
+
+// Guards against a process that ends by a memory fault without a trace.
+TEST_CASE(
+    "a memory fault leaves its signal and a backtrace on standard error") {
+  int Pipe[2];
+  REQUIRE(pipe(Pipe) == 0);
+  const pid_t Child = fork();
+  if (Child == 0) {
+    dup2(Pipe[1], STDERR_FILENO);
+    installCrashReport();
+    std::raise(SIGSEGV);
+    _exit(0);
+  }
+  close(Pipe[1]);
+  std::string Output;
+  std::array<char, 4096> Buffer{};
+  ssize_t ReadBytes = 0;
+  while ((ReadBytes = read(Pipe[0], Buffer.data(), Buffer.size())) > 0)
+    Output.append(Buffer.data(), static_cast<std::size_t>(ReadBytes));
+  close(Pipe[0]);
+  int Status = 0;
+  REQUIRE(waitpid(Child, &Status, 0) == Child);
+  CHECK(WIFSIGNALED(Status));
+  CHECK(WTERMSIG(Status) == SIGSEGV);
+  CHECK(Output.starts_with("fatal signal 11 at address 0x"));
+  CHECK(std::ranges::count(Output, '\n') > 2);
+}
