Read nothing more from a link between VMs that was closed

Callers saw: requests lost with a control VM that ended by itself 0.85 s after its return from a pause, and orders for jobs that had been given up. Cause: closeAll() and the silence check took a link out of the list and left it reading until a later event destroyed it. A greeting on it was handled as a new link, and std::rotate() ran on a range outside the list. Messages on it were handled as if they had arrived after the pause. Ruled out: answers within the call that asked (none in the backtrace), a start for a job that is gone (the backtrace, and removeJob() marks all its runs). Change: a closed link is disabled at once. closeAll() takes out all links before it reports a peer as down, so none is reported as up in between.

--- a/src/framework/net/internal/peerlink.cpp
+++ b/src/framework/net/internal/peerlink.cpp
@@ -140,12 +140,16 @@
   return Done{};
 }
 
-void PeerLink::close(const Error &Reason) {
-  if (Closed)
-    return;
+void PeerLink::disable() {
   Closed = true;
   Open = false;
   bufferevent_disable(Connection, EV_READ | EV_WRITE);
+}
+
+void PeerLink::close(const Error &Reason) {
+  if (Closed)
+    return;
+  disable();
   LinkCallbacks.OnClosed(*this, Reason);
 }
 
--- a/src/framework/net/internal/peerlink.h
+++ b/src/framework/net/internal/peerlink.h
@@ -39,6 +39,10 @@
   /// Sends one message. Returns false if the link is not open.
   bool send(std::string_view Payload);
 
+  /// Makes the link unusable without calling OnClosed. No further message is
+  /// delivered, even if more have been received already.
+  void disable();
+
   bool open() const { return Open; }
   /// The VM at the other end. Valid once the link is open.
   const VmId &remote() const { return Remote; }
--- a/src/framework/net/internal/peermesh.cpp
+++ b/src/framework/net/internal/peermesh.cpp
@@ -8,7 +8,9 @@
 #include <event2/listener.h>
 
 #include <algorithm>
+#include <iterator>
 #include <ranges>
+#include <utility>
 
 namespace sapphiremoor {
 
@@ -148,18 +150,25 @@
       std::ranges::find(Links, &Link, &std::unique_ptr<PeerLink>::get);
   if (LinkIt == Links.end())
     return;
-  // The link is still on the call stack, so a later event destroys it.
-  std::shared_ptr<PeerLink> ClosedLink(std::move(*LinkIt));
+  std::unique_ptr<PeerLink> ClosedLink = std::move(*LinkIt);
   Links.erase(LinkIt);
+  const std::string Name = ClosedLink->remote().Name;
+  discard(std::move(ClosedLink));
+  updatePeerState(Name);
+}
+
+void PeerMesh::discard(std::unique_ptr<PeerLink> Link) {
+  // Bytes that the link has received already must not be handled any more: it
+  // is not listed in Links.
+  Link->disable();
   for (const auto &[RemoteEndpoint, Target] : DialTargets) {
-    if (Target->Link != &Link)
+    if (Target->Link != Link.get())
       continue;
     Target->Link = nullptr;
     Target->RetryTimer->start(Limits.RetryDelay);
   }
-  const std::string Name = ClosedLink->remote().Name;
-  Loop.post([Dead = std::move(ClosedLink)] {});
-  updatePeerState(Name);
+  // The link may be on the call stack, so a later event destroys it.
+  Loop.post([Dead = std::shared_ptr<PeerLink>(std::move(Link))] {});
 }
 
 PeerLink *PeerMesh::newestLink(const std::string &Name) const {
@@ -188,10 +197,14 @@
 }
 
 void PeerMesh::closeAll() {
-  const Error Reason{ErrorKind::Timeout, "this VM was paused",
-                     "check the load and the state of this VM"};
-  while (!Links.empty())
-    onLinkClosed(*Links.back(), Reason);
+  // All links are closed before any peer is reported as down, so that no peer
+  // is reported as up because of a parallel link that is closed next.
+  for (std::unique_ptr<PeerLink> &Link : std::exchange(Links, {}))
+    discard(std::move(Link));
+  std::vector<std::string> Names;
+  std::ranges::copy(std::views::keys(UpPeers), std::back_inserter(Names));
+  for (const std::string &Name : Names)
+    updatePeerState(Name);
 }
 
 void PeerMesh::checkSilence() {
--- a/src/framework/net/internal/peernetwork.cpp
+++ b/src/framework/net/internal/peernetwork.cpp
@@ -141,6 +141,8 @@
   if (Reason.Kind == ErrorKind::BadFrame ||
       Reason.Kind == ErrorKind::CorruptData)
     Callbacks.OnLinkRejected(Link.remote().Name, Reason);
+  // Bytes that the link has received already must not be handled any more.
+  Link.disable();
   // The link is still on the call stack, so a later event destroys it.
   if (Link.role() == PeerLink::LinkRole::Accepted) {
     for (const auto &[Name, RemotePeer] : Peers) {
--- a/src/framework/net/peermesh.h
+++ b/src/framework/net/peermesh.h
@@ -53,7 +53,8 @@
   /// skipped.
   void sendToAll(std::string_view Payload);
 
-  /// Closes all links. Dialled links are dialled again.
+  /// Closes all links. Messages that have arrived on them are not delivered.
+  /// Dialled links are dialled again.
   void closeAll();
 
   bool reachable(const std::string &Name) const {
@@ -71,6 +72,9 @@
   void onLinkOpened(detail::PeerLink &Link);
   void onMessage(detail::PeerLink &Link, std::string_view Payload);
   void onLinkClosed(detail::PeerLink &Link, const Error &Reason);
+  /// Disables a link that is no longer in Links, and destroys it in a later
+  /// event. If it was dialled, its address is dialled again.
+  void discard(std::unique_ptr<detail::PeerLink> Link);
   void updatePeerState(const std::string &Name);
   void checkSilence();
   detail::PeerLink *newestLink(const std::string &Name) const;
--- a/src/framework/net/tests/peermesh_test.cpp
+++ b/src/framework/net/tests/peermesh_test.cpp
@@ -1,7 +1,17 @@
 #include "framework/net/peermesh.h"
 
+#include "framework/codec/frame.h"
+#include "framework/codec/serial.h"
+#include "framework/net/internal/handshake.h"
+
 #include <doctest/doctest.h>
 
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+
 using namespace sapphiremoor;
 
 namespace {
@@ -14,6 +24,8 @@
              {std::chrono::milliseconds(300), std::chrono::milliseconds(20)},
              {[this](const VmId &Sender, std::string_view Payload) {
                 Messages.emplace_back(Sender.Name, Payload);
+                if (CloseOnMessage)
+                  Mesh.closeAll();
               },
               [this](const VmId &Peer) { PeersUp.push_back(Peer); },
               [this](const VmId &Peer) { PeersDown.push_back(Peer); },
@@ -23,10 +35,52 @@
   std::vector<std::pair<std::string, std::string>> Messages;
   std::vector<VmId> PeersUp;
   std::vector<VmId> PeersDown;
+  /// Closes all links while a message is handled, as a VM does that notices
+  /// that it was paused.
+  bool CloseOnMessage = false;
   PeerMesh Mesh;
   uint16_t Port;
 };
 
+/// Connects \p A to \p B and waits until both report the other one.
+void connectMeshes(EventLoop &LoopA, MeshNode &A, EventLoop &LoopB,
+                   MeshNode &B) {
+  A.Mesh.dial({"127.0.0.1", B.Port});
+  while (A.PeersUp.empty() || B.PeersUp.empty()) {
+    LoopA.runOnce(false);
+    LoopB.runOnce(false);
+  }
+}
+
+/// Runs \p Loop until all messages of \p Sender to \p Peer are written.
+void flush(EventLoop &Loop, const MeshNode &Sender, const std::string &Peer) {
+  while (Sender.Mesh.pendingBytes(Peer) > 0)
+    Loop.runOnce(true);
+}
+
+/// Returns a connected socket to the mesh at \p Port.
+int connectTo(uint16_t Port) {
+  const int Fd = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in Address{};
+  Address.sin_family = AF_INET;
+  Address.sin_port = htons(Port);
+  Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  REQUIRE(connect(Fd, reinterpret_cast<sockaddr *>(&Address),
+                  sizeof(Address)) == 0);
+  return Fd;
+}
+
+/// Sends the greeting with which a VM opens a link that it has dialled.
+void sendHello(int Fd, const VmId &Self) {
+  const std::string Hello =
+      buildFrame(FrameType::Hello, 0, encode(detail::Greeting{Self, 1}),
+                 detail::helloSecret(ClusterKey));
+  REQUIRE(write(Fd, Hello.data(), Hello.size()) ==
+          static_cast<ssize_t>(Hello.size()));
+}
+
+constexpr int SeveralRounds = 20;
+
 } // namespace
 
 // Guards against a link that carries messages only in the dialled direction.
@@ -85,3 +139,51 @@
     Loop.runOnce(false);
   CHECK(A.PeersUp.empty());
 }
+
+// Guards against messages from before a pause that are acted on after it: they
+// have arrived on a link that was closed when the pause was noticed.
+TEST_CASE("no message of a link is delivered after closeAll") {
+  EventLoop LoopA;
+  EventLoop LoopB;
+  MeshNode A(LoopA, {"a", 1});
+  MeshNode B(LoopB, {"b", 2});
+  connectMeshes(LoopA, A, LoopB, B);
+  B.CloseOnMessage = true;
+  CHECK(A.Mesh.send("b", "first"));
+  CHECK(A.Mesh.send("b", "second"));
+  flush(LoopA, A, "b");
+  while (B.Messages.empty())
+    LoopB.runOnce(true);
+  for (int Round = 0; Round < SeveralRounds; ++Round)
+    LoopB.runOnce(false);
+  CHECK(B.Messages.size() == 1);
+  CHECK(B.PeersDown.size() == 1);
+}
+
+// Guards against a memory fault in a VM that closes its links after a pause,
+// while the greeting of a VM that has dialled it during the pause is still
+// unread: the greeting was handled on a link that was no longer listed.
+TEST_CASE("a greeting that waits when closeAll is called opens no link") {
+  EventLoop LoopA;
+  EventLoop LoopB;
+  MeshNode A(LoopA, {"a", 1});
+  MeshNode B(LoopB, {"b", 2});
+  connectMeshes(LoopA, A, LoopB, B);
+  const int Fd = connectTo(B.Port);
+  for (int Round = 0; Round < SeveralRounds; ++Round)
+    LoopB.runOnce(false);
+  // The message is read before the greeting, in one round of the loop.
+  B.CloseOnMessage = true;
+  CHECK(A.Mesh.send("b", "message"));
+  flush(LoopA, A, "b");
+  sendHello(Fd, {"c", 3});
+  while (B.Messages.empty())
+    LoopB.runOnce(true);
+  for (int Round = 0; Round < SeveralRounds; ++Round)
+    LoopB.runOnce(false);
+  CHECK(std::ranges::find(B.PeersUp, VmId{"c", 3}) == B.PeersUp.end());
+  // The connection was closed or reset without an answer.
+  char Byte = 0;
+  CHECK(recv(Fd, &Byte, 1, 0) <= 0);
+  close(Fd);
+}
