Send the reports of all backend servers to control VMs only

Callers saw: after a control VM returned from a pause or a partition on the large site, its callers got 502 or waited, for up to 3 s. Cause: each link that came up, also to an entry VM, got the reports of all 1,100 backend servers. 147 entry VMs link again at once. Change: they are sent with the first heartbeat that shows a control VM. Result: the new test is red without the change (1 for 0 messages).

--- a/src/cluster/backenddirectory.h
+++ b/src/cluster/backenddirectory.h
@@ -31,7 +31,11 @@
   void handlePeerOwnership(const VmId &Sender, const OwnershipUpdate &Message);
   /// Announces that this VM has acquired or lost a backend server.
   void handleOwnershipChange(const OwnershipChanged &Change);
-  void handlePeerUp(const VmId &Peer);
+  /// Called when the link to \p Peer, a VM of any role, has come up.
+  void handlePeerUp(const VmId &Peer) { NewPeers.insert(Peer.Name); }
+  /// Sends all reports and the owned backend servers to a control VM with the
+  /// first heartbeat after its link has come up. Entry VMs do not need them.
+  void handlePeerHeartbeat(const VmId &Sender, MemberRole Role);
 
   std::size_t size() const { return Backends.size(); }
 
@@ -66,6 +70,8 @@
   DispatchService &Dispatch;
   std::map<std::string, BackendRecord> Backends;
   BackendReports Outgoing;
+  /// VMs whose link has come up and that have sent no heartbeat since.
+  std::set<std::string> NewPeers;
   Instant StartTime;
   bool Draining = false;
   Timer TickTimer;
--- a/src/cluster/internal/backenddirectory.cpp
+++ b/src/cluster/internal/backenddirectory.cpp
@@ -128,16 +128,19 @@
     It->second.NextAttempt = Loop.now() + AcquireRetryDelay;
 }
 
-void BackendDirectory::handlePeerUp(const VmId &Peer) {
+void BackendDirectory::handlePeerHeartbeat(const VmId &Sender,
+                                           MemberRole Role) {
+  if (NewPeers.erase(Sender.Name) == 0 || Role != MemberRole::Control)
+    return;
   BackendReports AllReports;
   for (const auto &[Id, Backend] : Backends)
     if (!Backend.Report.Id.empty())
       AllReports.Reports.push_back(Backend.Report);
   if (!AllReports.Reports.empty())
-    Bus.send(Peer.Name, AllReports);
+    Bus.send(Sender.Name, AllReports);
   const OwnershipUpdate Ownership{Dispatch.dispatcher().ownedBackends(), {}};
   if (!Ownership.Acquired.empty())
-    Bus.send(Peer.Name, Ownership);
+    Bus.send(Sender.Name, Ownership);
 }
 
 void BackendDirectory::flush() {
--- a/src/cluster/internal/controlnode.cpp
+++ b/src/cluster/internal/controlnode.cpp
@@ -113,6 +113,7 @@
 void ControlNode::handleHeartbeat(const VmId &Sender,
                                   const ClusterHeartbeat &Message) {
   Dispatch.updatePeerLoad(Message);
+  Backends.handlePeerHeartbeat(Sender, Message.Self.Role);
   const Instant Now = Loop.now();
   if (Message.ConfigurationBallot <= Configuration.chosenBallot() ||
       Now - ConfigurationRequestedAt < ConfigurationRetryDelay)
--- a/src/cluster/tests/controlnode_test.cpp
+++ b/src/cluster/tests/controlnode_test.cpp
@@ -1,11 +1,14 @@
 #include "cluster/controlnode.h"
 
+#include "framework/codec/serial.h"
 #include "framework/storage/tests/temporaryfolder.h"
 
 #include <doctest/doctest.h>
 
 #include <algorithm>
 #include <memory>
+#include <string>
+#include <vector>
 
 using namespace sapphiremoor;
 using sapphiremoor::testing::TemporaryFolder;
@@ -13,6 +16,7 @@
 namespace {
 
 constexpr uint16_t PeerPort = 27790;
+constexpr const char *TestClusterKey = "0123456789abcdef";
 
 /// Address at which no VM listens.
 const Endpoint DeadSeed{"127.0.78.9", PeerPort};
@@ -21,8 +25,15 @@
   return {"127.0.78." + std::to_string(Number + 1), PeerPort};
 }
 
-/// Control VMs in one event loop, with links over loopback and no backend
-/// servers.
+/// Orders that no backend server answers.
+BackendOrders unansweredOrders() {
+  return {[](const StartOrder &, const auto &) {},
+          [](const StopOrder &, const auto &) {},
+          [](const PollOrder &, const auto &) {}};
+}
+
+/// Control VMs in one event loop, with links over loopback. No backend server
+/// answers them.
 class ControlVms {
 public:
   explicit ControlVms(std::size_t Count) : Vms(Count) {}
@@ -39,9 +50,9 @@
       Started.Settings.Seeds = Seeds;
       Started.Settings.DataFolder = Folder.Path + "/" + Started.Settings.Name;
       Started.Settings.FirstStart = FirstStart;
-      Started.Settings.ClusterKey = "0123456789abcdef";
+      Started.Settings.ClusterKey = TestClusterKey;
       Started.Node = std::make_unique<ControlNode>(*Loop, Started.Settings,
-                                                   BackendOrders{});
+                                                   unansweredOrders());
       REQUIRE_FALSE(isError(Started.Node->start()));
     }
   }
@@ -69,6 +80,9 @@
     }
   }
 
+  ControlNode &node(std::size_t Number) { return *Vms[Number].Node; }
+  EventLoop &loop() { return *Loop; }
+
   /// Runs until all VMs know \p Version.
   void waitFor(uint64_t Version) {
     const auto KnowsVersion = [Version](const Vm &Node) {
@@ -94,6 +108,35 @@
   std::vector<Vm> Vms;
 };
 
+/// A VM of which only the link and the heartbeat exist. Records what it gets.
+class LinkedPeer {
+public:
+  LinkedPeer(EventLoop &Loop, const std::string &Name, MemberRole Role)
+      : Mesh(Loop, {Name, 1}, TestClusterKey, {},
+             {[this](const VmId &, std::string_view Payload) {
+                Received.push_back(valueOf(decode<ClusterMessage>(Payload)));
+              },
+              [this, Name, Role](const VmId &Peer) {
+                ClusterHeartbeat Heartbeat;
+                Heartbeat.Self = {{Name, 1}, Role, "nitra", DeadSeed, false};
+                Mesh.send(Peer.Name, encode(ClusterMessage(Heartbeat)));
+              },
+              [](const VmId &) {}, [](const std::string &, const Error &) {}}) {
+    Mesh.dial(peerEndpoint(0));
+  }
+
+  template <typename Message> std::size_t count() const {
+    return static_cast<std::size_t>(
+        std::ranges::count_if(Received, [](const ClusterMessage &Item) {
+          return std::holds_alternative<Message>(Item);
+        }));
+  }
+
+private:
+  std::vector<ClusterMessage> Received;
+  PeerMesh Mesh;
+};
+
 } // namespace
 
 // Guards against control VMs that never find each other after a loss of all
@@ -108,3 +151,21 @@
   Vms.put({8, "eight"});
   Vms.waitFor(8);
 }
+
+// Guards against a return from a pause that floods the links: a control VM sent
+// the reports of all backend servers to each entry VM that linked again.
+TEST_CASE("only a control VM gets the reports of all backend servers") {
+  ControlVms Vms(1);
+  Vms.start({peerEndpoint(0)}, true);
+  BackendReport Report;
+  Report.Id = "b1";
+  Report.DataCentre = "nitra";
+  Vms.node(0).backends().handleReport(Report);
+  LinkedPeer Entry(Vms.loop(), "e1", MemberRole::Entry);
+  LinkedPeer Control(Vms.loop(), "c9", MemberRole::Control);
+  while (Control.count<BackendReports>() == 0 ||
+         Entry.count<ClusterHeartbeat>() < 3)
+    Vms.loop().runOnce(true);
+  CHECK(Control.count<BackendReports>() == 1);
+  CHECK(Entry.count<BackendReports>() == 0);
+}
