Send a heartbeat for a new link on this link only

Cause: each link that came up caused a heartbeat to all linked VMs, so that the messages grew with the square of the number of entry VMs. Change: the heartbeat goes to the new peer; the others get the periodic one.

--- a/src/cluster/clusterbus.h
+++ b/src/cluster/clusterbus.h
@@ -62,6 +62,7 @@
   void handlePayload(const VmId &Sender, std::string_view Payload);
   void handleHeartbeat(const VmId &Sender, const ClusterHeartbeat &Message);
   void sendHeartbeat();
+  std::string makeHeartbeat() const;
   MemberInfo selfInfo() const;
   void dialControlVms();
   void dialUnknownVoters();
--- a/src/cluster/internal/clusterbus.cpp
+++ b/src/cluster/internal/clusterbus.cpp
@@ -38,7 +38,10 @@
                        {{"peer", Peer.Name},
                         {"incarnation", std::to_string(Peer.Incarnation)}});
               Handlers.OnPeerUp(Peer);
-              sendHeartbeat();
+              // Only to the new peer: when many links come up at once, a
+              // heartbeat to all of them for each one grows with the square
+              // of their number.
+              Mesh.send(Peer.Name, makeHeartbeat());
             },
             [this](const VmId &Peer) {
               logEvent(events::PeerDown, {{"peer", Peer.Name}});
@@ -135,15 +138,18 @@
 }
 
 void ClusterBus::sendHeartbeat() {
-  const Instant Now = Loop.now();
-  View.expire(Now);
+  View.expire(Loop.now());
   dialControlVms();
   dialUnknownVoters();
+  Mesh.sendToAll(makeHeartbeat());
+}
+
+std::string ClusterBus::makeHeartbeat() const {
   ClusterHeartbeat Message;
   Message.Self = selfInfo();
-  Message.ControlSightings = View.controlSightings(Now);
+  Message.ControlSightings = View.controlSightings(Loop.now());
   Handlers.FillHeartbeat(Message);
-  Mesh.sendToAll(encode(ClusterMessage(Message)));
+  return encode(ClusterMessage(Message));
 }
 
 void ClusterBus::dialControlVms() {
--- a/src/cluster/tests/controlnode_test.cpp
+++ b/src/cluster/tests/controlnode_test.cpp
@@ -169,3 +169,30 @@
   CHECK(Control.count<BackendReports>() == 1);
   CHECK(Entry.count<BackendReports>() == 0);
 }
+
+// Guards against messages that grow with the square of the number of VMs when
+// all links come up at once: each link caused a heartbeat to all VMs.
+TEST_CASE("a link that comes up causes no heartbeat to other VMs") {
+  constexpr std::size_t PeerCount = 40;
+  constexpr Duration HeartbeatPeriod = std::chrono::milliseconds(150);
+  ControlVms Vms(1);
+  Vms.start({peerEndpoint(0)}, true);
+  const Instant Start = Vms.loop().now();
+  std::vector<std::unique_ptr<LinkedPeer>> Peers;
+  for (std::size_t Number = 0; Number < PeerCount; ++Number)
+    Peers.push_back(std::make_unique<LinkedPeer>(
+        Vms.loop(), "e" + std::to_string(Number), MemberRole::Entry));
+  const auto HasHeartbeat = [](const auto &Peer) {
+    return Peer->template count<ClusterHeartbeat>() > 0;
+  };
+  while (!std::ranges::all_of(Peers, HasHeartbeat))
+    Vms.loop().runOnce(true);
+  std::size_t Heartbeats = 0;
+  for (const auto &Peer : Peers)
+    Heartbeats += Peer->count<ClusterHeartbeat>();
+  // One for its own link to each peer, and the periodic ones.
+  const auto Periods =
+      static_cast<std::size_t>((Vms.loop().now() - Start) / HeartbeatPeriod) +
+      1;
+  CHECK(Heartbeats <= PeerCount * (1 + Periods));
+}
