Report a job as unknown only if a majority of the voters does not know it

Cause: an entry VM asked the control VMs that it knew, and took their answers for complete. After its own restart it may have heard only one, whose copy need not hold the job. A voter that rebuilt its copy answered too. Ruled out: a lost job; all three job logs listed it in the end. A voter with an incomplete copy does not say that it knows no job. The message between VMs is unchanged.

--- a/src/cluster/entrynode.h
+++ b/src/cluster/entrynode.h
@@ -6,6 +6,7 @@
 #include "framework/metrics/registry.h"
 #include "framework/net/stallwatch.h"
 #include "routing/routingtable.h"
+#include "versionregister/types/registervalue.h"
 
 #include <functional>
 #include <map>
@@ -79,6 +80,8 @@
   /// A query that was sent to several dispatchers.
   struct OpenQuery {
     std::set<std::string> AwaitedVms;
+    /// Addresses of the VMs that have answered.
+    std::set<std::string> AnsweredVms;
     bool Incomplete = false;
     JobStatus BestStatus = JobStatus::Unknown;
     bool JobEnded = false;
@@ -109,6 +112,9 @@
   sendQuery(OpenQuery Query,
             const std::function<ClusterMessage(uint64_t)> &MakeMessage);
   void finishQuery(uint64_t Number);
+  /// Returns true if no other VM can know more about the job. Each stored job
+  /// is on a majority of the voters, of which this VM may have heard only some.
+  bool isComplete(const OpenQuery &Query) const;
   void tick();
   void handleStall();
 
@@ -123,6 +129,8 @@
   Instant RefuseUntil;
   std::optional<RoutingTable> Table;
   Ballot ConfigurationBallot;
+  /// Voters of the configuration in force. Stored jobs are on them.
+  VoterSet Voters;
   Instant ConfigurationRequestedAt;
   std::map<std::string, DispatchLoad> DispatcherLoads;
   /// Incarnations of the VMs with a link, by name.
--- a/src/cluster/internal/entrynode.cpp
+++ b/src/cluster/internal/entrynode.cpp
@@ -3,6 +3,7 @@
 #include "cluster/jobtext.h"
 #include "discovery/ownership.h"
 #include "framework/eventlog/eventlog.h"
+#include "versionregister/voterset.h"
 
 #include <algorithm>
 #include <tuple>
@@ -241,6 +242,7 @@
   if (Value.ChosenBallot <= ConfigurationBallot)
     return;
   ConfigurationBallot = Value.ChosenBallot;
+  Voters = Value.Value.Voters;
   const VersionedDocument &Document = Value.Value.Document;
   if (Document.Version == 0 || (Table && Document.Version <= Table->version()))
     return;
@@ -306,6 +308,8 @@
   const auto It = OpenQueries.find(Number);
   if (It == OpenQueries.end() || It->second.AwaitedVms.erase(Sender.Name) == 0)
     return nullptr;
+  if (const MemberInfo *Member = Bus.members().find(Sender.Name))
+    It->second.AnsweredVms.insert(describe(Member->PeerEndpoint));
   return &It->second;
 }
 
@@ -332,11 +336,16 @@
     finishQuery(Answer.Request);
 }
 
+bool EntryNode::isComplete(const OpenQuery &Query) const {
+  return !Query.Incomplete && Query.AwaitedVms.empty() &&
+         isMajority(Voters, Query.AnsweredVms);
+}
+
 void EntryNode::finishQuery(uint64_t Number) {
   const auto It = OpenQueries.find(Number);
   const OpenQuery Query = std::move(It->second);
   OpenQueries.erase(It);
-  const bool Complete = !Query.Incomplete && Query.AwaitedVms.empty();
+  const bool Complete = isComplete(Query);
   const bool JobKnown = Query.BestStatus != JobStatus::Unknown;
   if (Query.OnStatus)
     Query.OnStatus(Complete || JobKnown ? std::optional(Query.BestStatus)
--- a/src/cluster/internal/jobstoreservice.cpp
+++ b/src/cluster/internal/jobstoreservice.cpp
@@ -343,6 +343,11 @@
       whenDurable(Job, [Reply] { Reply(true); });
     return;
   }
+  // A voter that rebuilds its copy may lack a job that a majority had stored.
+  // The entry VM counts the voters that do not know the job.
+  if (PreviousStatus == JobStatus::Unknown && !LocalCopy->isComplete() &&
+      isVoter(Configuration.voters(), describe(Settings.AdvertisedPeer)))
+    return;
   Reply(PreviousStatus >= JobStatus::Done);
 }
 
