Check for a pause before every event that can start tasks

Cause: messages, answers and the dispatcher's tick checked first; a report or departure of a backend server, the tick that acquires backend servers, and the store's tick, disk replies and own messages did not. One of them as the first event after a pause could start tasks of stored jobs that another VM had taken over, and the steady clock does not count the time of a suspended VM, so the writer lease seemed to be valid. Change: all of them check first.

--- a/src/cluster/dispatchservice.h
+++ b/src/cluster/dispatchservice.h
@@ -40,6 +40,10 @@
                   Callbacks Handlers);
 
   void start();
+  /// Checks whether this process was paused, and gives up its jobs if it was.
+  /// Every event that may start tasks or acquire backend servers has to call
+  /// this first, because leases may have expired during the pause.
+  void checkStall() { Handlers.CheckStall(); }
   /// Refuses new jobs from now on.
   void drain() { Draining = true; }
 
--- a/src/cluster/internal/backenddirectory.cpp
+++ b/src/cluster/internal/backenddirectory.cpp
@@ -77,6 +77,7 @@
 }
 
 void BackendDirectory::handleReport(const BackendReport &Report) {
+  Dispatch.checkStall();
   const bool Changed = applyReport(Report);
   Outgoing.Reports.push_back(Report);
   if (Changed)
@@ -84,6 +85,7 @@
 }
 
 void BackendDirectory::handleDeparture(const std::string &Id) {
+  Dispatch.checkStall();
   remove(Id);
   Outgoing.Departed.push_back(Id);
   flush();
@@ -166,6 +168,7 @@
 }
 
 void BackendDirectory::tick() {
+  Dispatch.checkStall();
   const Instant Now = Loop.now();
   std::vector<std::string> Expired;
   for (const auto &[Id, Backend] : Backends)
--- a/src/cluster/internal/jobstoreservice.cpp
+++ b/src/cluster/internal/jobstoreservice.cpp
@@ -133,6 +133,7 @@
 }
 
 void JobStoreService::deliverToSelf(const JobStoreMessage &Message) {
+  Dispatch.checkStall();
   LocalCopy->receive(describe(Settings.AdvertisedPeer), Message, Loop.now());
   Writer.receive(describe(Settings.AdvertisedPeer), Message, Loop.now());
   run();
@@ -168,6 +169,7 @@
 
 void JobStoreService::handleStorageReplies(
     const std::vector<StorageReply> &Replies) {
+  Dispatch.checkStall();
   for (const StorageReply &Reply : Replies) {
     if (isError(Reply.Outcome)) {
       if (!std::exchange(StorageLost, true))
@@ -399,6 +401,7 @@
 }
 
 void JobStoreService::tick() {
+  Dispatch.checkStall();
   const Instant Now = Loop.now();
   LocalCopy->setVoters(Configuration.voters());
   Writer.setVoters(Configuration.voters());
--- a/src/cluster/tests/controlnode_test.cpp
+++ b/src/cluster/tests/controlnode_test.cpp
@@ -8,6 +8,8 @@
 #include <algorithm>
 #include <memory>
 #include <string>
+#include <thread>
+#include <utility>
 #include <vector>
 
 using namespace sapphiremoor;
@@ -38,7 +40,8 @@
 public:
   explicit ControlVms(std::size_t Count) : Vms(Count) {}
 
-  void start(const std::vector<Endpoint> &Seeds, bool FirstStart) {
+  void start(const std::vector<Endpoint> &Seeds, bool FirstStart,
+             const BackendOrders &Orders = unansweredOrders()) {
     Loop = std::make_unique<EventLoop>();
     for (std::size_t Number = 0; Number < Vms.size(); ++Number) {
       Vm &Started = Vms[Number];
@@ -51,8 +54,8 @@
       Started.Settings.DataFolder = Folder.Path + "/" + Started.Settings.Name;
       Started.Settings.FirstStart = FirstStart;
       Started.Settings.ClusterKey = TestClusterKey;
-      Started.Node = std::make_unique<ControlNode>(*Loop, Started.Settings,
-                                                   unansweredOrders());
+      Started.Node =
+          std::make_unique<ControlNode>(*Loop, Started.Settings, Orders);
       REQUIRE_FALSE(isError(Started.Node->start()));
     }
   }
@@ -116,15 +119,16 @@
              {[this](const VmId &, std::string_view Payload) {
                 Received.push_back(valueOf(decode<ClusterMessage>(Payload)));
               },
-              [this, Name, Role](const VmId &Peer) {
-                ClusterHeartbeat Heartbeat;
-                Heartbeat.Self = {{Name, 1}, Role, "nitra", DeadSeed, false};
-                Mesh.send(Peer.Name, encode(ClusterMessage(Heartbeat)));
-              },
-              [](const VmId &) {}, [](const std::string &, const Error &) {}}) {
+              [this](const VmId &) { sendHeartbeat(); }, [](const VmId &) {},
+              [](const std::string &, const Error &) {}}),
+        HeartbeatTimer(Loop, [this] { sendHeartbeat(); }) {
+    Self = {{Name, 1}, Role, "nitra", DeadSeed, false};
     Mesh.dial(peerEndpoint(0));
+    HeartbeatTimer.startPeriodic(std::chrono::milliseconds(100));
   }
 
+  void send(const ClusterMessage &Message) { Mesh.sendToAll(encode(Message)); }
+
   template <typename Message> std::size_t count() const {
     return static_cast<std::size_t>(
         std::ranges::count_if(Received, [](const ClusterMessage &Item) {
@@ -133,8 +137,16 @@
   }
 
 private:
+  void sendHeartbeat() {
+    ClusterHeartbeat Heartbeat;
+    Heartbeat.Self = Self;
+    send(Heartbeat);
+  }
+
+  MemberInfo Self;
   std::vector<ClusterMessage> Received;
   PeerMesh Mesh;
+  Timer HeartbeatTimer;
 };
 
 } // namespace
@@ -196,3 +208,47 @@
       1;
   CHECK(Heartbeats <= PeerCount * (1 + Periods));
 }
+
+// Guards against a VM that acts on permissions that ran out while it was
+// paused: the report of a backend server was the first event after the pause,
+// and the jobs that the entry VMs had given up meanwhile went on.
+TEST_CASE("a report after a pause is handled once the jobs are given up") {
+  // The first poll shows that the backend server is idle; it starts each run.
+  BackendOrders Orders = unansweredOrders();
+  Orders.Poll = [Answered = false](const PollOrder &,
+                                   const auto &Handler) mutable {
+    if (!std::exchange(Answered, true))
+      Handler(RunList{1000, {}, {}, {}});
+  };
+  std::size_t StartCount = 0;
+  Orders.Start = [&StartCount](const StartOrder &, const auto &Handler) {
+    ++StartCount;
+    Handler({StartAnswerKind::Started, 1000});
+  };
+  std::size_t StopCount = 0;
+  Orders.Stop = [&StopCount](const StopOrder &, const auto &) { ++StopCount; };
+  ControlVms Vms(1);
+  Vms.start({peerEndpoint(0)}, true, Orders);
+  BackendReport Report;
+  Report.Id = "b1";
+  Report.DataCentre = "nitra";
+  Report.Service = "s";
+  Report.Capacity = {4000, 1000, 0};
+  Vms.node(0).backends().handleReport(Report);
+  LinkedPeer Entry(Vms.loop(), "e1", MemberRole::Entry);
+  SubmitJob Submit;
+  Submit.Job.Id = "0123456789abcdef";
+  Submit.Job.Policy.Service = "s";
+  Submit.Job.Steps = {StepRequest{1, {1000, 10, 0}, 60000, {}, {}, {}, 0}};
+  Submit.Job.DeadlineMs = 600000;
+  while (StartCount == 0) {
+    Entry.send(Submit);
+    ++Submit.Request;
+    Vms.loop().runOnce(true);
+  }
+  REQUIRE(StopCount == 0);
+  std::this_thread::sleep_for(std::chrono::milliseconds(600));
+  ++Report.Sequence;
+  Vms.node(0).backends().handleReport(Report);
+  CHECK(StopCount == 1);
+}
