Ask the backend servers that were known before a restart for work at once

Cause: backend servers were known only from their next report, up to 1.5 s after the start. Weighed: storing them in the register (a round per change, and agreement is not needed for a hint); asking the other control VMs (they restart at the same time); a list on each control VM's own disk, taken. Change: each control VM keeps the newest reports in a file of its own, written half a second after a change, and acquires the backend servers of its data centre in it 400 ms after its start, unless another control VM has announced that it owns them. One that does not answer, or answers under another id, is not used; one that has left is not in the list; the list is not passed on. Result: the test of a restarted VM hangs without the change (no order within 20 s). cluster_tests 11 of 11, three times.

--- a/src/cluster/backenddirectory.h
+++ b/src/cluster/backenddirectory.h
@@ -1,6 +1,7 @@
 #ifndef SAPPHIREMOOR_CLUSTER_BACKENDDIRECTORY_H
 #define SAPPHIREMOOR_CLUSTER_BACKENDDIRECTORY_H
 
+#include "cluster/backendliststore.h"
 #include "cluster/clusterbus.h"
 #include "cluster/dispatchservice.h"
 
@@ -17,7 +18,8 @@
 public:
   BackendDirectory(EventLoop &Loop, ClusterBus &Bus, DispatchService &Dispatch);
 
-  void start();
+  /// Starts with the backend servers that are stored in \p DataFolder.
+  void start(const std::string &DataFolder);
   /// Releases all backend servers; each one is given up once its runs have
   /// ended.
   void drain();
@@ -38,6 +40,8 @@
   void handlePeerHeartbeat(const VmId &Sender, MemberRole Role);
 
   std::size_t size() const { return Backends.size(); }
+  /// Returns true if the list of backend servers is on disk as it is now.
+  bool isStored() const { return List.isStored(); }
 
 private:
   struct BackendRecord {
@@ -50,8 +54,11 @@
     /// Time since which another VM is the preferred owner.
     Instant OtherPreferredSince;
     bool OtherPreferred = false;
+    /// True if the report comes from the disk of this VM.
+    bool Restored = false;
   };
 
+  std::vector<BackendReport> reports() const;
   /// Returns true if the report changed what the dispatcher knows.
   bool applyReport(const BackendReport &Report);
   void remove(const std::string &Id);
@@ -69,6 +76,7 @@
   ClusterBus &Bus;
   DispatchService &Dispatch;
   std::map<std::string, BackendRecord> Backends;
+  BackendListStore List;
   BackendReports Outgoing;
   /// VMs whose link has come up and that have sent no heartbeat since.
   std::set<std::string> NewPeers;
--- a/src/cluster/internal/backenddirectory.cpp
+++ b/src/cluster/internal/backenddirectory.cpp
@@ -30,6 +30,11 @@
 /// acquired.
 constexpr Duration StartupGrace = std::chrono::seconds(2);
 
+/// A backend server that is known from this VM's disk only may have been taken
+/// over while this VM was down. It is acquired once the other control VMs had
+/// this time to announce what they own.
+constexpr Duration RestoredGrace = std::chrono::milliseconds(400);
+
 /// Another owner has to be preferred for this time before a handover, so that a
 /// VM that comes and goes does not move backend servers.
 constexpr Duration HandoverDelay = std::chrono::seconds(1);
@@ -46,11 +51,16 @@
 BackendDirectory::BackendDirectory(EventLoop &Loop, ClusterBus &Bus,
                                    DispatchService &Dispatch)
     : Loop(Loop), Bus(Bus), Dispatch(Dispatch),
+      List(Loop, [this] { return reports(); }),
       TickTimer(Loop, [this] { tick(); }),
       FlushTimer(Loop, [this] { flush(); }) {}
 
-void BackendDirectory::start() {
+void BackendDirectory::start(const std::string &DataFolder) {
   StartTime = Loop.now();
+  for (const BackendReport &Report : List.open(DataFolder + "/backends")) {
+    applyReport(Report);
+    Backends[Report.Id].Restored = true;
+  }
   TickTimer.startPeriodic(TickPeriod);
   FlushTimer.startPeriodic(FlushPeriod);
 }
@@ -64,6 +74,7 @@
     return false;
   }
   Backend.Report = Report;
+  Backend.Restored = false;
   Backend.LastHeard = Loop.now();
   const bool Changed = Dispatch.dispatcher().handleReport(Report, Loop.now());
   if (Changed)
@@ -72,10 +83,20 @@
               {"address", describe(Report.Address)},
               {"born", std::to_string(Report.StartTimeMs)},
               {"sequence", std::to_string(Report.Sequence)}});
+  if (Changed)
+    List.markChanged();
   Dispatch.run();
   return Changed;
 }
 
+std::vector<BackendReport> BackendDirectory::reports() const {
+  std::vector<BackendReport> All;
+  for (const auto &[Id, Backend] : Backends)
+    if (!Backend.Report.Id.empty())
+      All.push_back(Backend.Report);
+  return All;
+}
+
 void BackendDirectory::handleReport(const BackendReport &Report) {
   Dispatch.checkStall();
   const bool Changed = applyReport(Report);
@@ -93,6 +114,7 @@
 
 void BackendDirectory::remove(const std::string &Id) {
   Backends.erase(Id);
+  List.markChanged();
   Dispatch.dispatcher().removeBackend(Id, Loop.now());
   Dispatch.run();
 }
@@ -134,9 +156,10 @@
                                            MemberRole Role) {
   if (NewPeers.erase(Sender.Name) == 0 || Role != MemberRole::Control)
     return;
+  // A backend server that is known from the disk only may have left meanwhile.
   BackendReports AllReports;
   for (const auto &[Id, Backend] : Backends)
-    if (!Backend.Report.Id.empty())
+    if (!Backend.Report.Id.empty() && !Backend.Restored)
       AllReports.Reports.push_back(Backend.Report);
   if (!AllReports.Reports.empty())
     Bus.send(Sender.Name, AllReports);
@@ -213,7 +236,10 @@
       !Backend.Owner.empty() && Bus.members().isLive(Backend.Owner, Now);
   const bool RecentlyHeard = Now - Backend.LastHeard <= RecentReportLimit;
   const bool SameDataCentre = Backend.Report.DataCentre == Bus.dataCentre();
-  const bool GracePassed = SameDataCentre || Now - StartTime > StartupGrace;
+  const Duration Grace = !SameDataCentre    ? StartupGrace
+                         : Backend.Restored ? RestoredGrace
+                                            : Duration::zero();
+  const bool GracePassed = Now - StartTime >= Grace;
   if (!SelfPreferred || !MayAcquire || OwnedByLivePeer || !GracePassed ||
       Now < Backend.NextAttempt)
     return;
--- a/src/cluster/internal/controlnode.cpp
+++ b/src/cluster/internal/controlnode.cpp
@@ -65,7 +65,7 @@
   if (isError(BusResult))
     return BusResult;
   Dispatch.start();
-  Backends.start();
+  Backends.start(Settings.DataFolder);
   return Done{};
 }
 
--- a/src/cluster/tests/controlnode_test.cpp
+++ b/src/cluster/tests/controlnode_test.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <memory>
+#include <set>
 #include <string>
 #include <thread>
 #include <utility>
@@ -252,3 +253,61 @@
   Vms.node(0).backends().handleReport(Report);
   CHECK(StopCount == 1);
 }
+
+namespace {
+
+BackendReport makeReport(const std::string &Id) {
+  BackendReport Report;
+  Report.Id = Id;
+  Report.DataCentre = "nitra";
+  return Report;
+}
+
+/// Runs until the list of backend servers of the only VM is on disk.
+void waitUntilStored(ControlVms &Vms) {
+  while (!Vms.node(0).backends().isStored())
+    Vms.loop().runOnce(true);
+}
+
+} // namespace
+
+// Guards against a total restart after which no task starts until each backend
+// server has sent its next report.
+TEST_CASE("a restarted VM asks the backend servers it knew before any report") {
+  std::set<std::string> PolledBackends;
+  BackendOrders Orders = unansweredOrders();
+  Orders.Poll = [&PolledBackends](const PollOrder &Order, const auto &) {
+    PolledBackends.insert(Order.Target.BackendId);
+  };
+  ControlVms Vms(1);
+  Vms.start({peerEndpoint(0)}, true);
+  Vms.node(0).backends().handleReport(makeReport("b1"));
+  Vms.node(0).backends().handleReport(makeReport("b2"));
+  waitUntilStored(Vms);
+  Vms.stop();
+  Vms.start({peerEndpoint(0)}, false, Orders);
+  const LinkedPeer Entry(Vms.loop(), "e1", MemberRole::Entry);
+  while (PolledBackends.size() < 2)
+    Vms.loop().runOnce(true);
+  CHECK(PolledBackends == std::set<std::string>{"b1", "b2"});
+}
+
+// Guards against a backend server that has left and is in use again after a
+// restart.
+TEST_CASE("a backend server that has left is not known after a restart") {
+  ControlVms Vms(1);
+  Vms.start({peerEndpoint(0)}, true);
+  Vms.node(0).backends().handleReport(makeReport("b1"));
+  Vms.node(0).backends().handleReport(makeReport("b2"));
+  waitUntilStored(Vms);
+  Vms.node(0).backends().handleDeparture("b1");
+  waitUntilStored(Vms);
+  Vms.stop();
+  Vms.start({peerEndpoint(0)}, false);
+  CHECK(Vms.node(0).backends().size() == 1);
+  // Other control VMs learn nothing that this VM has only read from its disk.
+  const LinkedPeer Control(Vms.loop(), "c9", MemberRole::Control);
+  while (Control.count<ClusterHeartbeat>() < 3)
+    Vms.loop().runOnce(true);
+  CHECK(Control.count<BackendReports>() == 0);
+}
