Count the reports of an incarnation that a run list showed first

Cause: a run list that shows a new start time renewed the incarnation, but kept the number of the last report. Numbers start anew with each incarnation, so its reports were taken for old ones until they passed the former number, for up to 1.5 s per report missed; a notice that it leaves was ignored meanwhile. Change: the number starts anew with the incarnation. Result: the new test is red without the change. dispatch_tests 30 of 30.

--- a/src/dispatch/internal/dispatcherruns.cpp
+++ b/src/dispatch/internal/dispatcherruns.cpp
@@ -229,6 +229,8 @@
   }
   if (List.StartTimeMs && *List.StartTimeMs != Backend->Report.StartTimeMs) {
     Backend->Report.StartTimeMs = *List.StartTimeMs;
+    // The numbers of the reports start anew with the incarnation.
+    Backend->Report.Sequence = 0;
     handleRestart(*Backend, Now);
     return;
   }
--- a/src/dispatch/tests/dispatcher_test.cpp
+++ b/src/dispatch/tests/dispatcher_test.cpp
@@ -437,3 +437,25 @@
       CHECK(Simulation.activeRuns("b" + std::to_string(Number)) == 0);
   }
 }
+
+// Guards against a backend server that leaves and still gets tasks: its run
+// list told of the restart before its report did, and the numbers of its
+// reports start anew with each incarnation.
+TEST_CASE("reports of an incarnation that the run list showed first count") {
+  const Instant Now = instantAt(seconds(100));
+  Dispatcher Dispatching({}, 1);
+  BackendReport Report;
+  Report.Id = "b1";
+  Report.StartTimeMs = 5;
+  Report.Sequence = 40;
+  Dispatching.handleReport(Report, Now);
+  Dispatching.acquire("b1", 1000, Now);
+  const auto Effects = Dispatching.takeEffects();
+  const auto *Poll = std::get_if<PollOrder>(&Effects.front());
+  REQUIRE(Poll != nullptr);
+  Dispatching.handleRunList(*Poll, RunList{1000, 6, {}, {}}, Now, Now);
+  Report.StartTimeMs = 6;
+  Report.Sequence = 2;
+  Report.Draining = true;
+  CHECK(Dispatching.handleReport(Report, Now));
+}
