--- a/src/framework/net/tests/peermesh_test.cpp
+++ b/src/framework/net/tests/peermesh_test.cpp
@@ -2,6 +2,7 @@
 
 #include "framework/codec/frame.h"
 #include "framework/codec/serial.h"
+#include "framework/core/random.h"
 #include "framework/net/internal/handshake.h"
 
 #include <doctest/doctest.h>
@@ -11,6 +12,10 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
 
 using namespace sapphiremoor;
 
@@ -187,3 +192,48 @@
   CHECK(recv(Fd, &Byte, 1, 0) <= 0);
   close(Fd);
 }
+
+// Guards against memory faults of the links in any order of events: VMs that
+// close all links at any moment, also inside a message, and greetings, messages
+// and silences at the same time. The sanitizers find the fault.
+TEST_CASE("links survive closes, greetings and messages in random order") {
+  constexpr uint64_t Seeds = 20;
+  constexpr int StepsPerSeed = 300;
+  for (uint64_t Seed = 1; Seed <= Seeds; ++Seed) {
+    CAPTURE(Seed);
+    Random Rng(Seed);
+    EventLoop Loop;
+    std::vector<std::unique_ptr<MeshNode>> Nodes;
+    for (uint64_t Number = 0; Number < 3; ++Number)
+      Nodes.push_back(std::make_unique<MeshNode>(
+          Loop, VmId{"n" + std::to_string(Number), Number + 1}));
+    std::vector<int> RawConnections;
+    for (int Step = 0; Step < StepsPerSeed; ++Step) {
+      MeshNode &Node = *Nodes[Rng() % Nodes.size()];
+      MeshNode &Other = *Nodes[Rng() % Nodes.size()];
+      switch (Rng() % 8) {
+      case 0:
+        Node.Mesh.closeAll();
+        break;
+      case 1:
+        Node.CloseOnMessage = Rng() % 2 == 0;
+        break;
+      case 2:
+        Node.Mesh.dial({"127.0.0.1", Other.Port});
+        break;
+      case 3:
+        Node.Mesh.stopDialling({"127.0.0.1", Other.Port});
+        break;
+      case 4:
+        RawConnections.push_back(connectTo(Node.Port));
+        sendHello(RawConnections.back(), {"raw", Rng() % 3});
+        break;
+      default:
+        Node.Mesh.sendToAll("message");
+        break;
+      }
+      Loop.runOnce(false);
+    }
+    std::ranges::for_each(RawConnections, close);
+  }
+}
