Refuse a limit without a name in a settings file

Operators saw: {"limits": {"": 0}} wrote through a null member pointer, or was checked as a known limit. Cause: the array of limits had one entry more than it listed, so the empty name was known. Change: the array has the size of its list.

--- a/src/configuration/internal/limitsreader.cpp
+++ b/src/configuration/internal/limitsreader.cpp
@@ -25,7 +25,7 @@
 constexpr double MinuteMs = 60'000;
 constexpr double HourMs = 60 * MinuteMs;
 
-const std::array<LimitRule, 15> LimitRules{{
+const auto LimitRules = std::to_array<LimitRule>({
     {"max_tasks", &Limits::MaxTasks, {1, 1600, "tasks"}},
     {"body_bytes", &Limits::BodyBytes, {KiB, 8 * MiB, "bytes"}},
     {"header_bytes", &Limits::HeaderBytes, {KiB, MiB, "bytes"}},
@@ -42,7 +42,7 @@
      &Limits::IdleConnectionTimeout,
      {10, MinuteMs, "ms"}},
     {"task_timeout_ms", &Limits::TaskTimeout, {100, 10 * MinuteMs, "ms"}},
-}};
+});
 
 std::vector<std::string> limitNames() {
   std::vector<std::string> Names;
