Write nothing of a request that was reported as not written

Cause: an order that missed its deadline before a byte of it was written was reported as certainly not sent, and its connection was destroyed by a later event. A loop that is late and has more ready sockets than it handles in one round handles the deadline first, then the writable socket, then that event: the order was written after all, while the task was started elsewhere and its place was given to another one. Ruled out, from the code: a wrong run list, a restart that was seen wrongly, an equal fencing token, a late order of the process before (the run numbers 1 and 2 belong to one process). Change: the request is cancelled, which closes its connection, before it is reported.

--- a/src/framework/net/httpcall.h
+++ b/src/framework/net/httpcall.h
@@ -78,6 +78,9 @@
                        void *Self);
   bool connected() const;
   void onTimer();
+  /// Reports the request as failed and makes sure that no further byte of it is
+  /// written.
+  void abandonRequest();
   void finish(HttpCallResult Result);
   HttpCallResult failureResult() const;
 
@@ -85,6 +88,8 @@
   Endpoint RemoteEndpoint;
   Duration ConnectTimeout;
   evhttp_connection *Connection;
+  /// The request in flight; evhttp frees it when it ends.
+  evhttp_request *OutgoingRequest = nullptr;
   Timer DeadlineTimer;
   Duration RequestTimeout{0};
   bool RequestInFlight = false;
--- a/src/framework/net/internal/httpcall.cpp
+++ b/src/framework/net/internal/httpcall.cpp
@@ -69,7 +69,7 @@
   Reusable = false;
   Connecting = !connected();
   RequestTimeout = Request.Timeout;
-  evhttp_request *OutgoingRequest = evhttp_request_new(onResponse, this);
+  OutgoingRequest = evhttp_request_new(onResponse, this);
   evkeyvalq *Headers = evhttp_request_get_output_headers(OutgoingRequest);
   evhttp_add_header(Headers, "Host", RemoteEndpoint.Address.c_str());
   for (const auto &[Name, Value] : Request.Headers)
@@ -111,7 +111,16 @@
     DeadlineTimer.start(RequestTimeout);
     return;
   }
-  finish(failureResult());
+  abandonRequest();
+}
+
+void HttpConnection::abandonRequest() {
+  const HttpCallResult Result = failureResult();
+  // The socket may be writable already, in an event that the loop handles
+  // before it destroys the connection.
+  RequestInFlight = false;
+  evhttp_cancel_request(OutgoingRequest);
+  finish(Result);
 }
 
 HttpCallResult HttpConnection::failureResult() const {
--- a/src/framework/net/tests/backendclient_test.cpp
+++ b/src/framework/net/tests/backendclient_test.cpp
@@ -7,7 +7,11 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <optional>
+#include <string>
+#include <thread>
+#include <vector>
 
 using namespace sapphiremoor;
 
@@ -41,6 +45,17 @@
   return Fd;
 }
 
+int connectTo(uint16_t Port) {
+  const int Fd = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in Address{};
+  Address.sin_family = AF_INET;
+  Address.sin_port = htons(Port);
+  Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  REQUIRE(connect(Fd, reinterpret_cast<sockaddr *>(&Address),
+                  sizeof(Address)) == 0);
+  return Fd;
+}
+
 constexpr Duration LongTimeout = std::chrono::seconds(30);
 
 } // namespace
@@ -91,3 +106,40 @@
   callAndWait(Loop, ReplacingClient, Port, "/", LongTimeout);
   CHECK(ReplacingClient.connectionsOpened() == 2);
 }
+
+// Guards against an order that is reported as not written and is carried out
+// all the same: a busy loop handled the deadline before the socket, and the
+// request was written before a later event destroyed the connection.
+TEST_CASE("a request that was reported as not written is never written") {
+  // More sockets than the loop handles in its first round.
+  constexpr std::size_t BusyConnections = 64;
+  EventLoop Loop;
+  std::vector<std::string> Paths;
+  HttpServer Server(Loop, {},
+                    [&Paths](const HttpRequest &Received, const Responder &R) {
+                      Paths.push_back(Received.Path);
+                      R.respond({});
+                    });
+  const uint16_t Port = valueOf(Server.listen({"127.0.0.1", 0}));
+  std::vector<int> Sockets;
+  for (std::size_t Number = 0; Number < BusyConnections; ++Number)
+    Sockets.push_back(connectTo(Port));
+  BackendClient Client(Loop, {});
+  callAndWait(Loop, Client, Port, "/first", LongTimeout);
+
+  for (const int Fd : Sockets)
+    REQUIRE(write(Fd, "G", 1) == 1);
+  HttpCallRequest Request;
+  Request.Path = "/second";
+  Request.Timeout = std::chrono::milliseconds(1);
+  std::optional<HttpCallStatus> Status;
+  Client.send({"127.0.0.1", Port}, Request,
+              [&](const HttpCallResult &Result) { Status = Result.Status; });
+  std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  for (int Round = 0; Round < 20; ++Round)
+    Loop.runOnce(false);
+  REQUIRE(Status.has_value());
+  CHECK(*Status == HttpCallStatus::NotWritten);
+  CHECK(Paths == std::vector<std::string>{"/first"});
+  std::ranges::for_each(Sockets, close);
+}
