--- a/src/configuration/tests/settings_test.cpp
+++ b/src/configuration/tests/settings_test.cpp
@@ -109,8 +109,8 @@
                  "add data_folder"});
 }
 
-// Guards against a settings file that ends the process: the empty name was taken
-// for a known limit, which has no member to store it.
+// Guards against a settings file that ends the process: the empty name was
+// taken for a known limit, which has no member to store it.
 TEST_CASE("a limit without a name is unknown") {
   checkRejected({"\"max_tasks\"", "\"\"", ErrorKind::UnknownSetting,
                  "vm.json:14:14: unknown setting \"limits.\"", "remove it"});
