--- a/src/cluster/tests/controlnode_test.cpp
+++ b/src/cluster/tests/controlnode_test.cpp
@@ -1,5 +1,6 @@
 #include "cluster/controlnode.h"
 
+#include "cluster/tests/processaddress.h"
 #include "framework/codec/serial.h"
 #include "framework/storage/tests/temporaryfolder.h"
 
@@ -14,19 +15,15 @@
 #include <vector>
 
 using namespace sapphiremoor;
+using sapphiremoor::testing::processEndpoint;
 using sapphiremoor::testing::TemporaryFolder;
 
 namespace {
 
-constexpr uint16_t PeerPort = 27790;
 constexpr const char *TestClusterKey = "0123456789abcdef";
 
 /// Address at which no VM listens.
-const Endpoint DeadSeed{"127.0.78.9", PeerPort};
-
-Endpoint peerEndpoint(std::size_t Number) {
-  return {"127.0.78." + std::to_string(Number + 1), PeerPort};
-}
+const Endpoint DeadSeed = processEndpoint(200);
 
 /// Orders that no backend server answers.
 BackendOrders unansweredOrders() {
@@ -49,8 +46,8 @@
       Started.Settings.Name = "c" + std::to_string(Number);
       Started.Settings.DataCentre = "nitra";
       Started.Settings.Role = MemberRole::Control;
-      Started.Settings.Peer = peerEndpoint(Number);
-      Started.Settings.AdvertisedPeer = peerEndpoint(Number);
+      Started.Settings.Peer = processEndpoint(Number);
+      Started.Settings.AdvertisedPeer = processEndpoint(Number);
       Started.Settings.Seeds = Seeds;
       Started.Settings.DataFolder = Folder.Path + "/" + Started.Settings.Name;
       Started.Settings.FirstStart = FirstStart;
@@ -124,7 +121,7 @@
               [](const std::string &, const Error &) {}}),
         HeartbeatTimer(Loop, [this] { sendHeartbeat(); }) {
     Self = {{Name, 1}, Role, "nitra", DeadSeed, false};
-    Mesh.dial(peerEndpoint(0));
+    Mesh.dial(processEndpoint(0));
     HeartbeatTimer.startPeriodic(std::chrono::milliseconds(100));
   }
 
@@ -156,7 +153,7 @@
 // power, because their settings name only VMs that are gone.
 TEST_CASE("control VMs with outdated seeds find the voters they have stored") {
   ControlVms Vms(3);
-  Vms.start({peerEndpoint(0), peerEndpoint(1), peerEndpoint(2)}, true);
+  Vms.start({processEndpoint(0), processEndpoint(1), processEndpoint(2)}, true);
   Vms.put({7, "seven"});
   Vms.waitFor(7);
   Vms.stop();
@@ -169,7 +166,7 @@
 // the reports of all backend servers to each entry VM that linked again.
 TEST_CASE("only a control VM gets the reports of all backend servers") {
   ControlVms Vms(1);
-  Vms.start({peerEndpoint(0)}, true);
+  Vms.start({processEndpoint(0)}, true);
   BackendReport Report;
   Report.Id = "b1";
   Report.DataCentre = "nitra";
@@ -189,7 +186,7 @@
   constexpr std::size_t PeerCount = 40;
   constexpr Duration HeartbeatPeriod = std::chrono::milliseconds(150);
   ControlVms Vms(1);
-  Vms.start({peerEndpoint(0)}, true);
+  Vms.start({processEndpoint(0)}, true);
   const Instant Start = Vms.loop().now();
   std::vector<std::unique_ptr<LinkedPeer>> Peers;
   for (std::size_t Number = 0; Number < PeerCount; ++Number)
@@ -229,7 +226,7 @@
   std::size_t StopCount = 0;
   Orders.Stop = [&StopCount](const StopOrder &, const auto &) { ++StopCount; };
   ControlVms Vms(1);
-  Vms.start({peerEndpoint(0)}, true, Orders);
+  Vms.start({processEndpoint(0)}, true, Orders);
   BackendReport Report;
   Report.Id = "b1";
   Report.DataCentre = "nitra";
@@ -280,12 +277,12 @@
     PolledBackends.insert(Order.Target.BackendId);
   };
   ControlVms Vms(1);
-  Vms.start({peerEndpoint(0)}, true);
+  Vms.start({processEndpoint(0)}, true);
   Vms.node(0).backends().handleReport(makeReport("b1"));
   Vms.node(0).backends().handleReport(makeReport("b2"));
   waitUntilStored(Vms);
   Vms.stop();
-  Vms.start({peerEndpoint(0)}, false, Orders);
+  Vms.start({processEndpoint(0)}, false, Orders);
   const LinkedPeer Entry(Vms.loop(), "e1", MemberRole::Entry);
   while (PolledBackends.size() < 2)
     Vms.loop().runOnce(true);
@@ -296,14 +293,14 @@
 // restart.
 TEST_CASE("a backend server that has left is not known after a restart") {
   ControlVms Vms(1);
-  Vms.start({peerEndpoint(0)}, true);
+  Vms.start({processEndpoint(0)}, true);
   Vms.node(0).backends().handleReport(makeReport("b1"));
   Vms.node(0).backends().handleReport(makeReport("b2"));
   waitUntilStored(Vms);
   Vms.node(0).backends().handleDeparture("b1");
   waitUntilStored(Vms);
   Vms.stop();
-  Vms.start({peerEndpoint(0)}, false);
+  Vms.start({processEndpoint(0)}, false);
   CHECK(Vms.node(0).backends().size() == 1);
   // Other control VMs learn nothing that this VM has only read from its disk.
   const LinkedPeer Control(Vms.loop(), "c9", MemberRole::Control);
--- a/src/cluster/tests/entrynode_test.cpp
+++ b/src/cluster/tests/entrynode_test.cpp
@@ -1,5 +1,6 @@
 #include "cluster/entrynode.h"
 
+#include "cluster/tests/processaddress.h"
 #include "framework/codec/serial.h"
 
 #include <doctest/doctest.h>
@@ -11,16 +12,12 @@
 #include <vector>
 
 using namespace sapphiremoor;
+using sapphiremoor::testing::processEndpoint;
 
 namespace {
 
-constexpr uint16_t PeerPort = 27791;
 constexpr const char *TestClusterKey = "0123456789abcdef";
 
-Endpoint controlEndpoint(std::size_t Number) {
-  return {"127.0.79." + std::to_string(Number + 1), PeerPort};
-}
-
 /// A control VM without a store: it knows the configuration and its voters, and
 /// answers that it does not know any job.
 class ControlVmWithoutJobs {
@@ -28,7 +25,7 @@
   ControlVmWithoutJobs(EventLoop &Loop, std::size_t Number,
                        const VoterSet &Voters)
       : Self{"c" + std::to_string(Number), 1},
-        Address(controlEndpoint(Number)), Configuration{{1, Self.Name},
+        Address(processEndpoint(Number)), Configuration{{1, Self.Name},
                                                         {{1, ""}, Voters}},
         Mesh(Loop, Self, TestClusterKey, {},
              {[this](const VmId &Sender, std::string_view Payload) {
@@ -73,15 +70,15 @@
   explicit Deployment(std::size_t ControlVms) {
     VoterSet Voters{1, {}};
     for (std::size_t Number = 0; Number < 3; ++Number) {
-      Voters.Voters.push_back(describe(controlEndpoint(Number)));
-      Settings.Seeds.push_back(controlEndpoint(Number));
+      Voters.Voters.push_back(describe(processEndpoint(Number)));
+      Settings.Seeds.push_back(processEndpoint(Number));
     }
     for (std::size_t Number = 0; Number < ControlVms; ++Number)
       Controls.push_back(
           std::make_unique<ControlVmWithoutJobs>(Loop, Number, Voters));
     Settings.Name = "e1";
     Settings.DataCentre = "nitra";
-    Settings.Peer = {"127.0.79.99", PeerPort};
+    Settings.Peer = processEndpoint(99);
     Settings.AdvertisedPeer = Settings.Peer;
     Settings.ClusterKey = TestClusterKey;
     Entry = std::make_unique<EntryNode>(
