--- a/src/cluster/internal/clusterbus.cpp
+++ b/src/cluster/internal/clusterbus.cpp
@@ -15,14 +15,11 @@
 constexpr Duration HeartbeatPeriod = std::chrono::milliseconds(150);
 constexpr Duration SilenceTimeout = std::chrono::milliseconds(600);
 constexpr Duration RetryDelay = std::chrono::milliseconds(100);
-/// Many round trips, also between data centres.
-constexpr Duration ConnectTimeout = std::chrono::milliseconds(100);
 
 PeerLimits linkLimits() {
   PeerLimits Limits;
   Limits.SilenceTimeout = SilenceTimeout;
   Limits.RetryDelay = RetryDelay;
-  Limits.ConnectTimeout = ConnectTimeout;
   return Limits;
 }
 
--- a/src/framework/net/internal/peerlink.cpp
+++ b/src/framework/net/internal/peerlink.cpp
@@ -28,7 +28,6 @@
     : Role(Role), Connection(Connection), Self(Self), ClusterKey(ClusterKey),
       LinkCallbacks(std::move(LinkCallbacks)), OwnGreeting{Self,
                                                            secureRandom64()},
-      Connected(Role == LinkRole::Accepted),
       ReceiveSecret(Role == LinkRole::Accepted
                         ? helloSecret(ClusterKey)
                         : welcomeSecret(ClusterKey, OwnGreeting)) {
@@ -56,12 +55,10 @@
 
 void PeerLink::onEvent(bufferevent *, short Events, void *Self) {
   auto &Link = *static_cast<PeerLink *>(Self);
-  if ((Events & BEV_EVENT_CONNECTED) == 0) {
+  if ((Events & BEV_EVENT_CONNECTED) != 0)
+    Link.sendGreeting(FrameType::Hello, helloSecret(Link.ClusterKey));
+  else
     Link.close(linkClosedError());
-    return;
-  }
-  Link.Connected = true;
-  Link.sendGreeting(FrameType::Hello, helloSecret(Link.ClusterKey));
 }
 
 void PeerLink::sendGreeting(FrameType Type, const std::string &Secret) {
--- a/src/framework/net/internal/peerlink.h
+++ b/src/framework/net/internal/peerlink.h
@@ -43,8 +43,6 @@
   /// delivered, even if more have been received already.
   void disable();
 
-  /// Returns true if the TCP connection is established.
-  bool connected() const { return Connected; }
   bool open() const { return Open; }
   /// The VM at the other end. Valid once the link is open.
   const VmId &remote() const { return Remote; }
@@ -72,7 +70,6 @@
   Callbacks LinkCallbacks;
   Greeting OwnGreeting;
   VmId Remote;
-  bool Connected;
   bool Open = false;
   bool Closed = false;
   std::string ReceiveSecret;
--- a/src/framework/net/internal/peermesh.cpp
+++ b/src/framework/net/internal/peermesh.cpp
@@ -98,7 +98,6 @@
       detail::socketAddress(Target.RemoteEndpoint);
   if (isError(Address))
     return;
-  ++DialCount;
   PeerLink &Link = addLink(-1, false);
   Target.Link = &Link;
   bufferevent_socket_connect(
@@ -215,14 +214,9 @@
       "nothing was received from the peer VM within the limit",
       "check that the peer VM runs and is reachable"};
   std::vector<PeerLink *> SilentLinks;
-  for (const auto &Link : Links) {
-    const Duration Timeout =
-        Link->connected()
-            ? Limits.SilenceTimeout
-            : std::min(Limits.ConnectTimeout, Limits.SilenceTimeout);
-    if (Now - Link->LastActivity > Timeout)
+  for (const auto &Link : Links)
+    if (Now - Link->LastActivity > Limits.SilenceTimeout)
       SilentLinks.push_back(Link.get());
-  }
   for (PeerLink *Link : SilentLinks)
     onLinkClosed(*Link, TimeoutError);
 }
--- a/src/framework/net/peermesh.h
+++ b/src/framework/net/peermesh.h
@@ -60,8 +60,6 @@
   bool reachable(const std::string &Name) const {
     return UpPeers.contains(Name);
   }
-  /// Returns the number of connections dialled so far.
-  uint64_t dialCount() const { return DialCount; }
   /// Returns the number of unsent bytes on the newest link to \p Name.
   std::size_t pendingBytes(const std::string &Name) const;
 
@@ -92,7 +90,6 @@
   std::vector<std::unique_ptr<detail::PeerLink>> Links;
   std::map<Endpoint, std::unique_ptr<DialTarget>> DialTargets;
   std::map<std::string, VmId> UpPeers;
-  uint64_t DialCount = 0;
   Timer SilenceCheckTimer;
 };
 
--- a/src/framework/net/peernetwork.h
+++ b/src/framework/net/peernetwork.h
@@ -29,10 +29,6 @@
   /// A link on which nothing arrives for this time is closed.
   Duration SilenceTimeout = std::chrono::seconds(3);
   Duration RetryDelay = std::chrono::milliseconds(250);
-  /// PeerMesh: a connection that is not established within this time is dialled
-  /// again. The first packet to a VM without power is lost, and the kernel
-  /// sends it again only after a second.
-  Duration ConnectTimeout = std::chrono::seconds(3);
   /// Messages are refused on a link with more unsent bytes.
   std::size_t MaxPendingBytes = std::size_t{64} << 20;
 };
--- a/src/framework/net/tests/peermesh_test.cpp
+++ b/src/framework/net/tests/peermesh_test.cpp
@@ -237,36 +237,3 @@
     std::ranges::for_each(RawConnections, close);
   }
 }
-
-// Guards against a VM that waits for the silence timeout before it dials again
-// a VM that had no power yet when it was dialled first.
-TEST_CASE("a connection that is not established is dialled again") {
-  // The accept queue is full, so no further connection is established.
-  const int Listener = socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in Address{};
-  Address.sin_family = AF_INET;
-  Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  REQUIRE(bind(Listener, reinterpret_cast<sockaddr *>(&Address),
-               sizeof(Address)) == 0);
-  REQUIRE(listen(Listener, 0) == 0);
-  socklen_t Size = sizeof(Address);
-  getsockname(Listener, reinterpret_cast<sockaddr *>(&Address), &Size);
-  const uint16_t Port = ntohs(Address.sin_port);
-  const int Filler = connectTo(Port);
-
-  EventLoop Loop;
-  PeerLimits Limits;
-  Limits.SilenceTimeout = std::chrono::hours(1);
-  Limits.ConnectTimeout = std::chrono::milliseconds(20);
-  Limits.RetryDelay = std::chrono::milliseconds(20);
-  PeerMesh Mesh(Loop, {"a", 1}, ClusterKey, Limits,
-                {[](const VmId &, std::string_view) {}, [](const VmId &) {},
-                 [](const VmId &) {},
-                 [](const std::string &, const Error &) {}});
-  Mesh.dial({"127.0.0.1", Port});
-  while (Mesh.dialCount() < 3)
-    Loop.runOnce(true);
-  CHECK(Mesh.dialCount() == 3);
-  close(Filler);
-  close(Listener);
-}
