--- a/review/kit/deployment.cpp
+++ b/review/kit/deployment.cpp
@@ -26,8 +26,6 @@
 constexpr uint16_t PeerPort = 7720;
 constexpr uint16_t WorkerPort = 8080;
 
-constexpr int64_t GraceMs = 6000;
-
 constexpr int64_t WorkerCpu = 32000;
 constexpr int64_t WorkerMemoryMb = 131072;
 
@@ -295,23 +293,6 @@
   Events.add(Name + " killed");
 }
 
-void Deployment::stopControl(std::size_t Zone) {
-  const std::string Name = "core-" + zoneName(Zone);
-  Process &Vm = Processes.at(Name);
-  kill(Vm.Pid, SIGTERM);
-  Events.add(Name + " gets SIGTERM");
-  const int64_t Deadline = nowMs() + GraceMs;
-  while (waitpid(Vm.Pid, nullptr, WNOHANG) == 0) {
-    if (nowMs() >= Deadline) {
-      killControl(Zone);
-      return;
-    }
-    sleepMs(10);
-  }
-  Vm.Killed = true;
-  Events.add(Name + " has ended");
-}
-
 void Deployment::cutZone(std::size_t Zone) {
   CutZone = static_cast<int>(Zone);
   for (const auto &[Id, Server] : Workers)
--- a/review/kit/deployment.h
+++ b/review/kit/deployment.h
@@ -46,9 +46,6 @@
 
   /// Kills the control VM of a zone with SIGKILL.
   void killControl(std::size_t Zone);
-  /// Stops the control VM of a zone as the platform does: SIGTERM, and SIGKILL
-  /// if it has not ended after `grace_s`.
-  void stopControl(std::size_t Zone);
   /// Starts the control VM of a zone again, on its former disk.
   void restartControl(std::size_t Zone) { startVm(Zone, true, false); }
   /// Cuts a zone off from the VMs and workers of the others, silently.
--- a/review/kit/worker.cpp
+++ b/review/kit/worker.cpp
@@ -15,7 +15,6 @@
 constexpr int64_t MaxHoldMs = 1000;
 constexpr int64_t MaxWaitMs = 2000;
 constexpr std::size_t MaxListedEnds = 500;
-constexpr std::size_t FailuresOfFaultyTask = 3;
 
 } // namespace
 
@@ -48,14 +47,6 @@
   It->How = How;
 }
 
-std::size_t RunLog::failures(const std::string &Task) const {
-  const std::lock_guard Lock(Mutex);
-  return static_cast<std::size_t>(
-      std::ranges::count_if(Runs, [&Task](const RunHistory &Entry) {
-        return Entry.Task == Task && Entry.How == "failed";
-      }));
-}
-
 std::vector<RunHistory> RunLog::runs() const {
   const std::lock_guard Lock(Mutex);
   return Runs;
@@ -148,9 +139,7 @@
     return reply(409, {{"reason", "old"}});
   if (Body.value("expires_at_ms", int64_t{0}) <= clockMs())
     return reply(409, {{"reason", "late"}});
-  const bool Fails = Spec.find('q') != std::string::npos &&
-                     Runs.failures(Task) < FailuresOfFaultyTask;
-  Active[Task] = {Run, nowMs(), std::stoll(Spec), Fails};
+  Active[Task] = {Run, nowMs(), std::stoll(Spec)};
   Runs.start({Options.Id, Task, Run, Spec.substr(0, 40), nowMs(), 0, ""});
   Events.add(Options.Id + " starts " + Task + " run " + std::to_string(Run));
   return reply(200, json::object());
@@ -209,7 +198,7 @@
   std::vector<std::pair<std::string, std::string>> Due;
   for (const auto &[Task, Run] : Active) {
     if (nowMs() - Run.StartedAt >= Run.LengthMs)
-      Due.emplace_back(Task, Run.Fails ? "failed" : "done");
+      Due.emplace_back(Task, "done");
     else if (clockMs() > LeaseEndMs)
       Due.emplace_back(Task, "lapsed");
   }
--- a/review/kit/worker.h
+++ b/review/kit/worker.h
@@ -53,8 +53,6 @@
   void start(const RunHistory &Run);
   void end(const std::string &Worker, const std::string &Task, uint64_t Run,
            const std::string &How);
-  /// Returns how many runs of a task have ended `failed`.
-  std::size_t failures(const std::string &Task) const;
   std::vector<RunHistory> runs() const;
 
 private:
@@ -75,7 +73,7 @@
 };
 
 /// A worker that follows the pages. A task takes the number of milliseconds
-/// that its spec begins with. With a `q` in the spec its first three runs fail.
+/// that its spec begins with.
 class Worker {
 public:
   Worker(WorkerOptions Options, Record &Events, RunLog &Runs);
@@ -93,7 +91,6 @@
     uint64_t Run = 0;
     int64_t StartedAt = 0;
     int64_t LengthMs = 0;
-    bool Fails = false;
   };
   struct EndedRun {
     uint64_t Number = 0;
