End a job in memory when nobody waits for it any more

What callers saw: a job without a store ran on two backend servers at once.

Cause: evhttp does not read from a connection while its request is open, so the entry VM learned of the disconnect only from its answer, and the request stayed open at the dispatcher. The log of the entry VM shows the first request answered "done" 1,427 ms after its arrival, 1,425 ms after the reset. Ruled out: a stop that did not reach the backend server (no stop was sent, no run_decided line); the dispatcher that redirected the job and forgot it (the job also ran twice when it was sent again to a third data centre, whose dispatcher had no part in the first attempt; trial).

A link that returned after the job had been given up left it running too. A request at its deadline cancelled the job for all its callers.

Change: the server reads while a request is open and reports a disconnect; requests that a client sends early stay in the buffer. An entry VM withdraws each request that it gives up at the dispatcher that has the job, now or once the link is back; the dispatcher ends the job with its last request. This holds wherever the caller sends the job again, since nothing of the first attempt is left by then. Cost: one message for each request that is given up.

--- a/src/cluster/dispatchservice.h
+++ b/src/cluster/dispatchservice.h
@@ -48,6 +48,7 @@
   void drain() { Draining = true; }
 
   void submit(const VmId &Sender, const SubmitJob &Message);
+  void withdraw(const VmId &Sender, const WithdrawJob &Message);
   void query(const VmId &Sender, const JobQuery &Message);
   void queryPending(const VmId &Sender, const PendingJobsQuery &Message);
   void handlePeerUp(const VmId &Peer);
--- a/src/cluster/entrynode.h
+++ b/src/cluster/entrynode.h
@@ -13,6 +13,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace sapphiremoor {
 
@@ -49,7 +50,12 @@
   /// Returns the routing table of the configuration in force, if one is known.
   const std::optional<RoutingTable> &table() const { return Table; }
 
-  void submit(const JobSubmission &Submission, JobHandler Handler);
+  /// Hands a job to a dispatcher. \p Handler is called once, perhaps before
+  /// this function returns. Returns the number of the request, for abandon().
+  uint64_t submit(const JobSubmission &Submission, JobHandler Handler);
+  /// Called when the caller of \p Request has disconnected. A job that is not
+  /// stored ends; its caller may send it again to any entry VM.
+  void abandon(uint64_t Request);
   void query(const std::string &Job, StatusHandler Handler);
   void cancel(const std::string &Job, CancelHandler Handler);
   /// Counts the jobs of \p Queue that have not started.
@@ -77,6 +83,14 @@
     std::optional<Instant> LinkLostAt;
     uint8_t Redirects = 0;
   };
+  /// A request that was given up and that its dispatcher has not been told to
+  /// withdraw yet.
+  struct PendingWithdrawal {
+    VmId Target;
+    WithdrawJob Message;
+    /// Time at which the dispatcher has ended the job by itself.
+    Instant Expiry;
+  };
   /// A query that was sent to several dispatchers.
   struct OpenQuery {
     std::set<std::string> AwaitedVms;
@@ -107,6 +121,12 @@
   bool handOver(uint64_t Number, OpenJob &Job,
                 const std::string &DispatcherName, bool Resumed = false);
   void finishJob(uint64_t Number, const JobAnswer &Answer);
+  /// Answers that the job was given up. Withdraws the request at the dispatcher
+  /// unless the job is stored: a stored job runs to its end, and its caller
+  /// asks for its status.
+  void giveUp(uint64_t Number, JobReason Reason);
+  /// Sends the pending withdrawals whose dispatchers can be reached.
+  void sendWithdrawals();
   void logAnswer(const OpenJob &Job, const JobAnswer &Answer) const;
   uint64_t
   sendQuery(OpenQuery Query,
@@ -136,6 +156,7 @@
   /// Incarnations of the VMs with a link, by name.
   std::map<std::string, uint64_t> LinkedVms;
   std::map<uint64_t, OpenJob> OpenJobs;
+  std::vector<PendingWithdrawal> Withdrawals;
   std::map<uint64_t, OpenQuery> OpenQueries;
   uint64_t NextNumber = 1;
   bool Draining = false;
--- a/src/cluster/internal/controlnode.cpp
+++ b/src/cluster/internal/controlnode.cpp
@@ -94,6 +94,8 @@
                                 const ClusterMessage &Message) {
   if (const auto *Submit = std::get_if<SubmitJob>(&Message))
     Dispatch.submit(Sender, *Submit);
+  else if (const auto *Withdrawal = std::get_if<WithdrawJob>(&Message))
+    Dispatch.withdraw(Sender, *Withdrawal);
   else if (const auto *Query = std::get_if<JobQuery>(&Message))
     Dispatch.query(Sender, *Query);
   else if (const auto *Pending = std::get_if<PendingJobsQuery>(&Message))
--- a/src/cluster/internal/dispatchservice.cpp
+++ b/src/cluster/internal/dispatchservice.cpp
@@ -82,6 +82,12 @@
   run();
 }
 
+void DispatchService::withdraw(const VmId &Sender, const WithdrawJob &Message) {
+  JobDispatcher.withdraw(Message.Job, {Sender.Name, Message.Request},
+                         Loop.now());
+  run();
+}
+
 void DispatchService::query(const VmId &Sender, const JobQuery &Message) {
   if (!JobDispatcher.isInMemoryJob(Message.Job)) {
     Handlers.StoredJobs.Query(Sender, Message);
--- a/src/cluster/internal/entrynode.cpp
+++ b/src/cluster/internal/entrynode.cpp
@@ -31,6 +31,10 @@
 /// are read; requests are refused meanwhile.
 constexpr Duration StaleRequestPeriod = std::chrono::milliseconds(100);
 
+/// Time after the deadline of a job within which its dispatcher has certainly
+/// ended it: the dispatcher measures the deadline from the job's arrival there.
+constexpr Duration WithdrawalRetention = std::chrono::seconds(1);
+
 constexpr Duration QueryTimeout = std::chrono::milliseconds(700);
 constexpr Duration ConfigurationRetryDelay = std::chrono::milliseconds(300);
 
@@ -90,7 +94,8 @@
          });
 }
 
-void EntryNode::submit(const JobSubmission &Submission, JobHandler Handler) {
+uint64_t EntryNode::submit(const JobSubmission &Submission,
+                           JobHandler Handler) {
   SubmittedJobs.add();
   Watch.check();
   const Instant Now = Loop.now();
@@ -110,6 +115,13 @@
                        JobReason::Overloaded,
                        NoDispatcherRetryMs,
                        {}});
+  return Number;
+}
+
+void EntryNode::abandon(uint64_t Request) {
+  const auto It = OpenJobs.find(Request);
+  if (It != OpenJobs.end() && !It->second.Submission.Stored)
+    giveUp(Request, JobReason::CallerGone);
 }
 
 std::optional<std::string>
@@ -195,6 +207,33 @@
   Job.Handler(Answer);
 }
 
+void EntryNode::giveUp(uint64_t Number, JobReason Reason) {
+  const OpenJob &Job = OpenJobs.at(Number);
+  const std::string Id = Job.Submission.Id;
+  if (!Job.Submission.Stored)
+    Withdrawals.push_back(
+        {Job.Target,
+         {Number, Id},
+         std::max(Job.Deadline, Loop.now()) + WithdrawalRetention});
+  finishJob(Number,
+            {{Settings.Name, Number}, Id, JobResult::GivenUp, Reason, 0, {}});
+  sendWithdrawals();
+}
+
+void EntryNode::sendWithdrawals() {
+  const Instant Now = Loop.now();
+  std::erase_if(Withdrawals, [&](const PendingWithdrawal &Pending) {
+    if (Now >= Pending.Expiry)
+      return true;
+    const auto LinkIt = LinkedVms.find(Pending.Target.Name);
+    if (LinkIt == LinkedVms.end())
+      return false;
+    // Another process of the dispatcher's VM does not know the job.
+    return LinkIt->second != Pending.Target.Incarnation ||
+           Bus.send(Pending.Target.Name, Pending.Message);
+  });
+}
+
 void EntryNode::logAnswer(const OpenJob &Job, const JobAnswer &Answer) const {
   logEvent(
       events::JobAnswered,
@@ -211,6 +250,7 @@
 
 void EntryNode::handlePeerUp(const VmId &Peer) {
   LinkedVms[Peer.Name] = Peer.Incarnation;
+  sendWithdrawals();
   for (auto &[Number, Job] : OpenJobs)
     if (Job.Target == Peer && Job.LinkLostAt)
       handOver(Number, Job, Peer.Name, true);
@@ -364,15 +404,8 @@
   RefuseUntil = Loop.now() + StaleRequestPeriod;
   Bus.dropLinks();
   // Callers may have sent their jobs elsewhere during the pause.
-  while (!OpenJobs.empty()) {
-    const auto &[Number, Job] = *OpenJobs.begin();
-    finishJob(Number, {{Settings.Name, Number},
-                       Job.Submission.Id,
-                       JobResult::GivenUp,
-                       JobReason::Cancelled,
-                       0,
-                       {}});
-  }
+  while (!OpenJobs.empty())
+    giveUp(OpenJobs.begin()->first, JobReason::Cancelled);
 }
 
 void EntryNode::tick() {
@@ -388,19 +421,9 @@
     else if (Now >= Job.Deadline)
       ExpiredJobs.push_back({Number, JobReason::DeadlinePassed});
   }
-  for (const ExpiredJob &Expired : ExpiredJobs) {
-    const OpenJob &Job = OpenJobs.at(Expired.Number);
-    const std::string Id = Job.Submission.Id;
-    // A stored job keeps running; its caller asks for its status later.
-    if (!Job.Submission.Stored)
-      Bus.send(Job.Target.Name, JobQuery{0, Id, true});
-    finishJob(Expired.Number, {{Settings.Name, Expired.Number},
-                               Id,
-                               JobResult::GivenUp,
-                               Expired.Reason,
-                               0,
-                               {}});
-  }
+  for (const ExpiredJob &Expired : ExpiredJobs)
+    giveUp(Expired.Number, Expired.Reason);
+  sendWithdrawals();
   std::vector<uint64_t> ExpiredQueries;
   for (const auto &[Number, Query] : OpenQueries)
     if (Now >= Query.Deadline)
--- a/src/cluster/internal/jobtext.cpp
+++ b/src/cluster/internal/jobtext.cpp
@@ -34,6 +34,8 @@
     return "cancelled";
   case JobReason::Redirected:
     return "redirected";
+  case JobReason::CallerGone:
+    return "caller_gone";
   }
   return "none";
 }
--- a/src/cluster/types/clustermessage.h
+++ b/src/cluster/types/clustermessage.h
@@ -48,6 +48,16 @@
   }
 };
 
+/// Withdraws a request for a job that is not stored, because its caller does
+/// not wait any more. The job ends unless other requests for it are open.
+struct WithdrawJob {
+  /// Number that the entry VM gave to the request.
+  uint64_t Request = 0;
+  std::string Job;
+
+  template <typename Archive> void serialize(Archive &Ar) { Ar(Request, Job); }
+};
+
 /// Asks for the state of a job, and cancels the job if Cancel is set.
 struct JobQuery {
   uint64_t Request = 0;
@@ -115,7 +125,7 @@
     std::variant<ClusterHeartbeat, SubmitJob, JobAnswer, JobQuery,
                  JobQueryAnswer, PendingJobsQuery, PendingJobsAnswer,
                  BackendReports, OwnershipUpdate, RegisterMessage,
-                 JobStoreMessage>;
+                 JobStoreMessage, WithdrawJob>;
 
 } // namespace sapphiremoor
 
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -119,6 +119,10 @@
                                                  Instant Now);
   /// Cancels a job for all its callers. Returns false if the job is not known.
   bool cancel(const std::string &JobId, Instant Now);
+  /// Withdraws one request for a job. A job that is not stored ends with its
+  /// last request, so that it does not run beside a later submission, which may
+  /// go to another dispatcher.
+  void withdraw(const std::string &JobId, const JobSource &Source, Instant Now);
   /// Abandons the requests of a VM that holds callers' connections and has
   /// become unreachable.
   void dropSource(const std::string &Vm, Instant Now);
--- a/src/dispatch/internal/dispatcherjobs.cpp
+++ b/src/dispatch/internal/dispatcherjobs.cpp
@@ -175,12 +175,22 @@
   return true;
 }
 
+void Dispatcher::withdraw(const std::string &JobId, const JobSource &Source,
+                          Instant Now) {
+  const auto JobIt = Jobs.find(JobId);
+  if (JobIt == Jobs.end() || std::erase(JobIt->second.Sources, Source) == 0 ||
+      !detail::isOrphaned(JobIt->second))
+    return;
+  endJob(JobId, JobResult::GivenUp, JobReason::CallerGone, Now);
+  schedule(Now);
+}
+
 void Dispatcher::dropSource(const std::string &Vm, Instant Now) {
   std::vector<std::string> Orphaned;
   for (auto &[JobId, Job] : Jobs) {
     std::erase_if(Job.Sources,
                   [&Vm](const JobSource &Source) { return Source.Vm == Vm; });
-    if (Job.Sources.empty() && !Job.Request.Stored)
+    if (detail::isOrphaned(Job))
       Orphaned.push_back(JobId);
   }
   for (const std::string &JobId : Orphaned)
--- a/src/dispatch/internal/jobstate.cpp
+++ b/src/dispatch/internal/jobstate.cpp
@@ -119,4 +119,8 @@
       Job.Steps, [](const StepState &Step) { return Step.NotDone == 0; });
 }
 
+bool isOrphaned(const JobState &Job) {
+  return !Job.Request.Stored && Job.Sources.empty();
+}
+
 } // namespace sapphiremoor::detail
--- a/src/dispatch/internal/jobstate.h
+++ b/src/dispatch/internal/jobstate.h
@@ -91,6 +91,9 @@
 /// Returns true if every task is done.
 bool isComplete(const JobState &Job);
 
+/// Returns true if the job is not stored and no caller waits for its end.
+bool isOrphaned(const JobState &Job);
+
 } // namespace sapphiremoor::detail
 
 #endif // SAPPHIREMOOR_DISPATCH_INTERNAL_JOBSTATE_H
--- a/src/dispatch/tests/dispatcher_test.cpp
+++ b/src/dispatch/tests/dispatcher_test.cpp
@@ -72,6 +72,43 @@
   CHECK(Simulation.starts("b0") == 1);
 }
 
+// Guards against two runs at once: a job whose caller had gone ran on while the
+// caller sent it again, and another dispatcher started it too.
+TEST_CASE("a job ends with its last request and may run elsewhere afterwards") {
+  FakeBackends Simulation(31);
+  prepare(Simulation, 1);
+  Simulation.addDispatcher("d2", 2);
+  Simulation.addBackend("b9", SmallCapacity);
+  Simulation.assign("b9", "d2");
+  Simulation.run(milliseconds(50));
+  const JobSubmission Job = makeSimpleJob("j1", 1, 2000);
+  const uint64_t Request = Simulation.submit("d1", Job);
+  Simulation.run(milliseconds(40));
+  REQUIRE(Simulation.activeRuns("b0") == 1);
+  Simulation.withdraw("d1", "j1", Request);
+  Simulation.run(milliseconds(200));
+  CHECK(Simulation.activeRuns("b0") == 0);
+  Simulation.submit("d2", Job);
+  Simulation.run(seconds(4));
+  CHECK(Simulation.starts("b9") == 1);
+  CHECK(onlyResult(Simulation, "j1") == JobResult::Done);
+  CHECK(Simulation.Violations.empty());
+}
+
+// Guards against a caller that gets no answer because another caller of the
+// same job has gone.
+TEST_CASE("a withdrawn request leaves the other requests for the job open") {
+  FakeBackends Simulation(32);
+  prepare(Simulation, 1);
+  const uint64_t First = Simulation.submit("d1", makeSimpleJob("j1", 1, 100));
+  Simulation.submit("d1", makeSimpleJob("j1", 1, 100));
+  Simulation.withdraw("d1", "j1", First);
+  Simulation.withdraw("d1", "j1", First);
+  Simulation.run(milliseconds(300));
+  CHECK(onlyResult(Simulation, "j1") == JobResult::Done);
+  CHECK(Simulation.starts("b0") == 1);
+}
+
 // Guards against jobs that wait for a backend server that is large enough
 // although there is none.
 TEST_CASE("a task larger than any backend server fails at once, others run") {
--- a/src/dispatch/tests/fakebackends.cpp
+++ b/src/dispatch/tests/fakebackends.cpp
@@ -74,9 +74,18 @@
   processEffects(Owner);
 }
 
-void FakeBackends::submit(const std::string &Name, const JobSubmission &Job) {
+uint64_t FakeBackends::submit(const std::string &Name,
+                              const JobSubmission &Job) {
   Jobs[Job.Id] = Job;
-  dispatcher(Name).submit(Job, {"entry", NextRequest++}, 0, Now);
+  const uint64_t Number = NextRequest++;
+  dispatcher(Name).submit(Job, {"entry", Number}, 0, Now);
+  processEffects(Name);
+  return Number;
+}
+
+void FakeBackends::withdraw(const std::string &Name, const std::string &Job,
+                            uint64_t Number) {
+  dispatcher(Name).withdraw(Job, {"entry", Number}, Now);
   processEffects(Name);
 }
 
--- a/src/dispatch/tests/fakebackends.h
+++ b/src/dispatch/tests/fakebackends.h
@@ -33,7 +33,11 @@
   void report(const std::string &Backend, const std::string &Owner);
   void probe(const std::string &Backend, const std::string &Owner);
 
-  void submit(const std::string &Name, const JobSubmission &Job);
+  /// Submits a job and returns the number of the request.
+  uint64_t submit(const std::string &Name, const JobSubmission &Job);
+  /// Withdraws the request \p Number for a job.
+  void withdraw(const std::string &Name, const std::string &Job,
+                uint64_t Number);
   /// Moves a stored job from the dispatcher \p FormerOwner to \p NewOwner.
   void handOver(const std::string &Job, const std::string &FormerOwner,
                 const std::string &NewOwner);
--- a/src/dispatch/types/dispatcheffect.h
+++ b/src/dispatch/types/dispatcheffect.h
@@ -53,6 +53,8 @@
   Cancelled,
   /// Another VM can start the job sooner.
   Redirected,
+  /// The caller has disconnected and may send the job again.
+  CallerGone,
 };
 
 /// Answer to one request for a job.
--- a/src/framework/net/httpserver.h
+++ b/src/framework/net/httpserver.h
@@ -42,10 +42,11 @@
   struct State;
   explicit Responder(std::shared_ptr<State> RequestState);
   void respond(const HttpResponse &Response) const;
-  /// Returns true until the response is sent. evhttp does not read from a
-  /// connection while a request is open, so a disconnected client is detected
-  /// only when the response is written.
+  /// Returns true until the response is sent or the client has disconnected.
   bool open() const;
+  /// Calls \p Handler once if the client disconnects before the response is
+  /// sent. Replaces an earlier handler.
+  void onDisconnect(std::function<void()> Handler) const;
 
 private:
   std::shared_ptr<State> RequestState;
@@ -85,6 +86,9 @@
   static bufferevent *createConnection(event_base *Base, void *Self);
   static void handleRequest(evhttp_request *Request, void *Self);
   void dispatch(evhttp_request *Request);
+  /// Keeps reading from a connection while its request is open, so that a
+  /// disconnect is noticed.
+  static void watchForDisconnect(bufferevent *Connection);
   void markRequestComplete(evhttp_request *Request);
   void sweepConnections();
 
--- a/src/framework/net/internal/httpserver.cpp
+++ b/src/framework/net/internal/httpserver.cpp
@@ -21,6 +21,10 @@
 constexpr Duration SweepPeriod = std::chrono::milliseconds(500);
 constexpr Duration ClosingSweepPeriod = std::chrono::milliseconds(20);
 
+/// Limit on the bytes of further requests that are read from a connection while
+/// a request is open on it.
+constexpr std::size_t MaxEarlyBytes = std::size_t{64} << 10;
+
 HttpMethod requestMethod(evhttp_request *Request) {
   switch (evhttp_request_get_command(Request)) {
   case EVHTTP_REQ_GET:
@@ -105,6 +109,8 @@
   std::size_t OpenRequests = 0;
   bool Destroying = false;
   bool ClosingConnections = false;
+  /// Time after which evhttp closes a connection without a request.
+  int IdleTimeoutSeconds = 0;
   /// Connections with a request that has no response yet.
   std::unordered_set<bufferevent *> BusyConnections;
 };
@@ -114,6 +120,7 @@
   evhttp_request *Request = nullptr;
   bufferevent *Connection = nullptr;
   std::shared_ptr<HttpServer::ServerState> Server;
+  std::function<void()> OnDisconnect;
 
   ~State() {
     if (Request != nullptr)
@@ -130,8 +137,12 @@
 
   void send(const HttpResponse &Response) {
     evhttp_request *FinishedRequest = finish();
-    evhttp_connection_set_closecb(
-        evhttp_request_get_connection(FinishedRequest), nullptr, nullptr);
+    OnDisconnect = nullptr;
+    evhttp_connection *HttpConnection =
+        evhttp_request_get_connection(FinishedRequest);
+    evhttp_connection_set_closecb(HttpConnection, nullptr, nullptr);
+    evhttp_connection_set_timeout(HttpConnection, Server->IdleTimeoutSeconds);
+    bufferevent_setwatermark(Connection, EV_READ, 0, 0);
     evhttp_add_header(evhttp_request_get_output_headers(FinishedRequest),
                       "Content-Type", Response.ContentType.c_str());
     for (const auto &[Name, Value] : Response.Headers)
@@ -158,6 +169,9 @@
     // evhttp detaches an unanswered request from a closed connection and leaves
     // it to its user. Replying to it frees it.
     evhttp_send_reply(UnansweredRequest, 200, nullptr, nullptr);
+    // The handler may release the last responder and with it this state.
+    if (const auto Handler = std::exchange(ClosedRequest.OnDisconnect, {}))
+      Handler();
   }
 };
 
@@ -171,6 +185,11 @@
     RequestState->send(Response);
 }
 
+void Responder::onDisconnect(std::function<void()> Handler) const {
+  if (RequestState->Request != nullptr)
+    RequestState->OnDisconnect = std::move(Handler);
+}
+
 /// Detects a request that takes too long to arrive on one connection.
 struct HttpServer::ConnectionMonitor {
   EventLoop *Loop = nullptr;
@@ -223,10 +242,9 @@
   // may lose the response. A body of up to twice the limit is read completely,
   // so that it can be refused with a typed error.
   evhttp_set_max_body_size(Http, static_cast<ev_ssize_t>(2 * Limits.BodyBytes));
-  evhttp_set_timeout(
-      Http,
-      static_cast<int>(
-          std::chrono::ceil<std::chrono::seconds>(Limits.IdleTimeout).count()));
+  SharedState->IdleTimeoutSeconds = static_cast<int>(
+      std::chrono::ceil<std::chrono::seconds>(Limits.IdleTimeout).count());
+  evhttp_set_timeout(Http, SharedState->IdleTimeoutSeconds);
   evhttp_set_allowed_methods(Http, EVHTTP_REQ_GET | EVHTTP_REQ_POST |
                                        EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE);
   evhttp_set_bevcb(Http, createConnection, this);
@@ -310,19 +328,33 @@
     MonitorIt->second->Receiving = false;
 }
 
+void HttpServer::watchForDisconnect(bufferevent *Connection) {
+  // evhttp stops reading while a request is open. Its read callback expects no
+  // bytes in this state, so it is left out until evhttp sets it again after the
+  // response; bytes of further requests stay in the buffer until then.
+  bufferevent_event_cb OnEvent = nullptr;
+  void *Argument = nullptr;
+  bufferevent_getcb(Connection, nullptr, nullptr, &OnEvent, &Argument);
+  bufferevent_setcb(Connection, nullptr, nullptr, OnEvent, Argument);
+  bufferevent_setwatermark(Connection, EV_READ, 0, MaxEarlyBytes);
+  // The response may take longer than a connection may be idle.
+  bufferevent_set_timeouts(Connection, nullptr, nullptr);
+  bufferevent_enable(Connection, EV_READ);
+}
+
 void HttpServer::dispatch(evhttp_request *Request) {
   markRequestComplete(Request);
+  bufferevent *Connection =
+      evhttp_connection_get_bufferevent(evhttp_request_get_connection(Request));
   const int Enable = 1;
-  setsockopt(bufferevent_getfd(evhttp_connection_get_bufferevent(
-                 evhttp_request_get_connection(Request))),
-             IPPROTO_TCP, TCP_NODELAY, &Enable, sizeof(Enable));
+  setsockopt(bufferevent_getfd(Connection), IPPROTO_TCP, TCP_NODELAY, &Enable,
+             sizeof(Enable));
   auto RequestState = std::make_shared<Responder::State>();
   RequestState->Request = Request;
-  RequestState->Connection =
-      evhttp_connection_get_bufferevent(evhttp_request_get_connection(Request));
+  RequestState->Connection = Connection;
   RequestState->Server = SharedState;
   ++SharedState->OpenRequests;
-  SharedState->BusyConnections.insert(RequestState->Connection);
+  SharedState->BusyConnections.insert(Connection);
   evhttp_connection_set_closecb(evhttp_request_get_connection(Request),
                                 Responder::State::onClose, RequestState.get());
   const Responder RequestResponder(std::move(RequestState));
@@ -331,6 +363,8 @@
     RequestResponder.respond(tooLargeResponse(Limits.BodyBytes));
   else
     OnRequest(readRequest(Request, Limits.KeptHeaders), RequestResponder);
+  if (RequestResponder.open())
+    watchForDisconnect(Connection);
 }
 
 void HttpServer::sweepConnections() {
@@ -343,8 +377,11 @@
       bufferevent_decref(Monitor->Connection);
       return true;
     }
-    if (Monitor->Receiving &&
-        Now - Monitor->ReceiveStart > Limits.RequestTimeout)
+    // A request that waits for the response to the one before it is not slow.
+    if (SharedState->BusyConnections.contains(Entry.first))
+      Monitor->ReceiveStart = Now;
+    else if (Monitor->Receiving &&
+             Now - Monitor->ReceiveStart > Limits.RequestTimeout)
       Monitor->refuseSlowRequest();
     return false;
   });
--- a/src/framework/net/tests/httpserver_test.cpp
+++ b/src/framework/net/tests/httpserver_test.cpp
@@ -1,5 +1,6 @@
 #include "framework/net/backendclient.h"
 #include "framework/net/httpserver.h"
+#include "framework/net/timer.h"
 
 #include <doctest/doctest.h>
 
@@ -8,6 +9,8 @@
 #include <unistd.h>
 
 #include <optional>
+#include <string>
+#include <vector>
 
 using namespace sapphiremoor;
 
@@ -106,6 +109,120 @@
   close(NextFd);
 }
 
+namespace {
+
+enum class Disconnect { Close, Reset };
+
+void disconnect(int Fd, Disconnect How) {
+  const linger Reset{1, 0};
+  if (How == Disconnect::Reset)
+    setsockopt(Fd, SOL_SOCKET, SO_LINGER, &Reset, sizeof(Reset));
+  close(Fd);
+}
+
+/// A server that leaves its requests open. Counts the clients that have
+/// disconnected meanwhile.
+struct WaitingServer {
+  uint16_t listen() { return valueOf(Server.listen({"127.0.0.1", 0})); }
+
+  void waitForRequests(std::size_t Count) {
+    while (Responders.size() < Count)
+      Loop.runOnce(true);
+  }
+
+  EventLoop Loop;
+  std::vector<Responder> Responders;
+  std::vector<std::string> Paths;
+  int Disconnects = 0;
+  HttpServer Server{
+      Loop, {}, [this](const HttpRequest &Request, const Responder &R) {
+        Paths.push_back(Request.Path);
+        Responders.push_back(R);
+        R.onDisconnect([this] { ++Disconnects; });
+      }};
+};
+
+} // namespace
+
+// Guards against work that goes on for a client that has gone: a disconnect was
+// noticed only when the response was written.
+TEST_CASE("a client that disconnects is noticed while its request is open") {
+  for (const Disconnect How : {Disconnect::Close, Disconnect::Reset}) {
+    WaitingServer Waiting;
+    const int Fd =
+        connectAndSend(Waiting.listen(), "GET /a HTTP/1.1\r\nHost: x\r\n\r\n");
+    Waiting.waitForRequests(1);
+    CHECK(Waiting.Responders[0].open());
+    disconnect(Fd, How);
+    while (Waiting.Disconnects == 0)
+      Waiting.Loop.runOnce(true);
+    CHECK_FALSE(Waiting.Responders[0].open());
+    CHECK(Waiting.Server.openRequests() == 0);
+    Waiting.Responders[0].respond({200, "x", "text/plain"});
+    CHECK(Waiting.Disconnects == 1);
+  }
+}
+
+// Guards against a handler that frees the last responder from within the notice
+// that its client has gone.
+TEST_CASE("a disconnect may release the responder of its request") {
+  EventLoop Loop;
+  std::optional<Responder> Pending;
+  HttpServer Server(Loop, {}, [&](const HttpRequest &, const Responder &R) {
+    Pending = R;
+    R.onDisconnect([&] { Pending.reset(); });
+  });
+  const uint16_t Port = valueOf(Server.listen({"127.0.0.1", 0}));
+  const int Fd = connectAndSend(Port, "GET /a HTTP/1.1\r\nHost: x\r\n\r\n");
+  while (!Pending)
+    Loop.runOnce(true);
+  close(Fd);
+  while (Pending)
+    Loop.runOnce(true);
+  CHECK(Server.openRequests() == 0);
+}
+
+// Guards against a request that is lost or ends the process because it arrives
+// while the request before it is open.
+TEST_CASE("a request sent before the previous response is answered after it") {
+  WaitingServer Waiting;
+  const int Fd =
+      connectAndSend(Waiting.listen(), "GET /a HTTP/1.1\r\nHost: x\r\n\r\n");
+  Waiting.waitForRequests(1);
+  const std::string Next = "GET /b HTTP/1.1\r\nHost: x\r\n"
+                           "Connection: close\r\n\r\n";
+  REQUIRE(send(Fd, Next.data(), Next.size(), 0) ==
+          static_cast<ssize_t>(Next.size()));
+  Waiting.Loop.runOnce(true);
+  CHECK(Waiting.Responders.size() == 1);
+  Waiting.Responders[0].respond({200, "first", "text/plain"});
+  Waiting.waitForRequests(2);
+  CHECK(Waiting.Paths == std::vector<std::string>{"/a", "/b"});
+  Waiting.Responders[1].respond({200, "second", "text/plain"});
+  const std::string Received = readUntilClosed(Waiting.Loop, Fd);
+  CHECK(Received.find("first") < Received.find("second"));
+  CHECK(Received.find("second") != std::string::npos);
+  CHECK(Waiting.Disconnects == 0);
+}
+
+// Guards against a slow response that is cut off by the limit on idle
+// connections, since the server reads while a request is open. The connection
+// is closed by that limit only after the response.
+TEST_CASE("a request may stay open for longer than a connection may be idle") {
+  EventLoop Loop;
+  HttpLimits Limits;
+  Limits.IdleTimeout = std::chrono::seconds(1);
+  std::optional<Responder> Pending;
+  Timer ResponseTimer(Loop, [&] { Pending->respond({200, "late", "x"}); });
+  HttpServer Server(Loop, Limits, [&](const HttpRequest &, const Responder &R) {
+    Pending = R;
+    ResponseTimer.start(std::chrono::milliseconds(1500));
+  });
+  const uint16_t Port = valueOf(Server.listen({"127.0.0.1", 0}));
+  const int Fd = connectAndSend(Port, "GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+  CHECK(readUntilClosed(Loop, Fd).find("late") != std::string::npos);
+}
+
 TEST_CASE("a client with slow headers gets 408 with a remedy and is closed") {
   EventLoop Loop;
   HttpLimits Limits;
