Forget the end of a stored job only once all voters have it

Cause: a writer forgot an ended job as soon as the copies that were linked at that moment had its end. Cut off, its own copy was enough. A job that the writer of a partition no longer lists counts as durably ended, so it was shown as done; the other copies never got the end, and the VM that took the partition over had the job as open.

Ruled out: a takeover that overlooks a durable end (no other voter could have it), and an entry VM that merges answers wrongly (it reached one control VM only).

The same cause on related paths: one voter that is cut off never got an end that a majority had, and let the job run again after the others had forgotten it (130 s); a new writer left such ends out, too; a cancel that only the writer's own copy had was acknowledged when it was sent again. The other readers of the copies count voters, not links.

Change: a writer keeps the id and the outcome of an ended job until the end is durable and all voters and all linked copies have it; a new writer keeps the durable ends that some voter did not report. Every takeover reads a majority, so it finds each end that was shown. What is sent again goes in messages of up to 200 jobs.

In a cut, callers in the smaller part are shown "running" for jobs that have ended there.

--- a/src/cluster/internal/jobstoreservice.cpp
+++ b/src/cluster/internal/jobstoreservice.cpp
@@ -271,6 +271,10 @@
   }
 }
 
+void JobStoreService::perform(const EndsForgotten &Effect) {
+  logEvent(events::EndsForgotten, {{"kept", std::to_string(Effect.KeptEnds)}});
+}
+
 void JobStoreService::storeProgress(const JobProgressed &Effect) {
   Writer.updateProgress(Effect.JobId, Effect.Progress, Loop.now());
   if (Effect.Progress.Outcome != StoredOutcome::Open)
@@ -314,14 +318,12 @@
   const JobRecord *Record = LocalCopy->find(Job);
   if (Record == nullptr)
     return JobStatus::Unknown;
-  // Only the writer knows whether the end of a job is durable. An end that is
-  // not durable might be lost with this copy, so the job is reported as
-  // running.
-  const bool Durable = Writer.ownsJob(Job)
-                           ? Writer.endDurable(Job)
-                           : Writer.ownsPartition(Record->Partition);
+  // An end that is not durable might be lost with this copy, so the job is
+  // reported as running.
   const JobStatus StoredStatus = toJobStatus(Record->Progress);
-  return Durable ? StoredStatus : std::min(StoredStatus, JobStatus::Running);
+  return Writer.confirmsEnd(*Record)
+             ? StoredStatus
+             : std::min(StoredStatus, JobStatus::Running);
 }
 
 void JobStoreService::query(const VmId &Sender, const JobQuery &Message) {
--- a/src/cluster/jobstoreservice.h
+++ b/src/cluster/jobstoreservice.h
@@ -70,6 +70,7 @@
   void perform(const JobHeldElsewhere &Effect);
   void perform(const ProgressStored &Effect);
   void perform(const JobsLost &Effect);
+  void perform(const EndsForgotten &Effect);
   void deliverToSelf(const JobStoreMessage &Message);
   void handleStorageReplies(const std::vector<StorageReply> &Replies);
   void takeSnapshot();
--- a/src/framework/eventlog/internal/eventlog.cpp
+++ b/src/framework/eventlog/internal/eventlog.cpp
@@ -50,13 +50,13 @@
     events::LinesDropped,     events::AdmissionRefused,
     events::JobStored,        events::StoredJobEnded,
     events::JobsTakenOver,    events::JobsHandedOver,
-    events::LeaderElected,    events::ChangeAccepted,
-    events::ChangeInForce,    events::StorageFailed,
-    events::LogRecovered,     events::ChunkRejected,
-    events::VotersChanging,   events::ChangeRefused,
-    events::JobsRecovered,    events::VoterSilent,
-    events::VoterHeard,       events::ReadinessChanged,
-    events::SettingsReloaded};
+    events::EndsForgotten,    events::LeaderElected,
+    events::ChangeAccepted,   events::ChangeInForce,
+    events::StorageFailed,    events::LogRecovered,
+    events::ChunkRejected,    events::VotersChanging,
+    events::ChangeRefused,    events::JobsRecovered,
+    events::VoterSilent,      events::VoterHeard,
+    events::ReadinessChanged, events::SettingsReloaded};
 
 } // namespace
 
--- a/src/jobstore/internal/jobwriter.cpp
+++ b/src/jobstore/internal/jobwriter.cpp
@@ -19,6 +19,12 @@
 /// stored the job's progress.
 constexpr uint64_t RunNumberGap = 100;
 
+constexpr Duration ResendCheckPeriod = std::chrono::milliseconds(100);
+
+/// Limit on the jobs of one message that is sent again. Keeps it far below the
+/// largest frame of a link.
+constexpr std::size_t JobsPerMessage = 200;
+
 bool hasEnded(const JobProgress &Progress) {
   return Progress.Outcome != StoredOutcome::Open;
 }
@@ -74,6 +80,14 @@
          It->second.DurableVersion == It->second.Version;
 }
 
+bool JobWriter::confirmsEnd(const JobRecord &Record) const {
+  if (Record.Progress.Outcome == StoredOutcome::Open)
+    return false;
+  // A writer forgets a job only once its end is durable.
+  return ownsJob(Record.Submission.Id) ? endDurable(Record.Submission.Id)
+                                       : ownsPartition(Record.Partition);
+}
+
 uint64_t JobWriter::version(const std::string &Id) const {
   const auto It = Jobs.find(Id);
   return It == Jobs.end() ? 0 : It->second.Version;
@@ -115,12 +129,17 @@
 
 void JobWriter::writeToCopy(const std::string &Address, const std::string &Id,
                             const OwnedJob &Job) {
+  send(Address, WriteJobs{{Job.Partition, OwnedPartitions.at(Job.Partition)},
+                          Voters.Epoch,
+                          {makeWrite(Address, Id, Job)}});
+}
+
+JobWrite JobWriter::makeWrite(const std::string &Address, const std::string &Id,
+                              const OwnedJob &Job) {
   JobWrite Write{Id, Job.Version, Job.Committed, {}, Job.Progress};
   if (!Job.AckedVersions.contains(Address))
     Write.Submission = Job.Submission;
-  send(Address, WriteJobs{{Job.Partition, OwnedPartitions.at(Job.Partition)},
-                          Voters.Epoch,
-                          {std::move(Write)}});
+  return Write;
 }
 
 void JobWriter::receive(const std::string &Sender,
@@ -181,13 +200,42 @@
     Job.DurableVersion = Durable;
     handleDurable(Stored.Id, Job, Now);
   }
-  const bool AckedByAll =
-      std::ranges::all_of(Copies, [&Job](const std::string &Address) {
-        const auto AckIt = Job.AckedVersions.find(Address);
-        return AckIt != Job.AckedVersions.end() && AckIt->second == Job.Version;
-      });
-  if (hasEnded(Job.Progress) && AckedByAll)
-    Jobs.erase(JobIt);
+  if (isSettled(Job))
+    forget(JobIt);
+}
+
+bool JobWriter::hasNewestVersion(const OwnedJob &Job,
+                                 const std::string &Address) const {
+  const auto AckIt = Job.AckedVersions.find(Address);
+  return AckIt != Job.AckedVersions.end() && AckIt->second >= Job.Version;
+}
+
+bool JobWriter::isSettled(const OwnedJob &Job) const {
+  const auto HasEnd = [&](const std::string &Address) {
+    return hasNewestVersion(Job, Address);
+  };
+  // A copy that is not linked now counts too if it votes: with an open state it
+  // would let the job run again after the others have forgotten the end.
+  return Job.EndNumber != 0 && std::ranges::all_of(Voters.Voters, HasEnd) &&
+         std::ranges::all_of(Copies, HasEnd);
+}
+
+void JobWriter::keepEnd(const std::string &Id, OwnedJob &Job) {
+  JobSubmission Identity;
+  Identity.Id = Id;
+  Identity.Stored = true;
+  // Swapped, because an assignment or clear() would keep the memory.
+  std::swap(Job.Submission, Identity);
+  JobProgress End;
+  End.Outcome = Job.Progress.Outcome;
+  std::swap(Job.Progress, End);
+  Job.EndNumber = NextEndNumber++;
+  UnsettledEnds.emplace(Job.EndNumber, Id);
+}
+
+JobWriter::JobMap::iterator JobWriter::forget(JobMap::iterator It) {
+  UnsettledEnds.erase(It->second.EndNumber);
+  return Jobs.erase(It);
 }
 
 void JobWriter::handleDurable(const std::string &Id, OwnedJob &Job,
@@ -206,6 +254,9 @@
     Effects.emplace_back(
         JobStored{Job.Submission, Job.Progress, Job.TakenOver});
   Effects.emplace_back(ProgressStored{Id, Job.DurableVersion});
+  if (hasEnded(Job.Progress) && Job.DurableVersion == Job.Version &&
+      Job.EndNumber == 0)
+    keepEnd(Id, Job);
 }
 
 void JobWriter::handleConflict(const std::string &Sender,
@@ -231,7 +282,7 @@
   // competing writers would both do so.
   if (ConflictingVoters * 2 < Voters.Voters.size())
     return;
-  Jobs.erase(It);
+  forget(It);
   Effects.emplace_back(JobHeldElsewhere{Conflict.Id, Conflict.Partition});
 }
 
@@ -258,7 +309,7 @@
     if (Job.Partition == Partition)
       Lost.Ids.push_back(Id);
   for (const std::string &Id : Lost.Ids)
-    Jobs.erase(Id);
+    forget(Jobs.find(Id));
   if (Partition == OpenPartition)
     openPartition();
   Effects.emplace_back(std::move(Lost));
@@ -281,9 +332,13 @@
                        Instant Now) {
   const auto ClaimIt = Claims.find(Reply.Ownership.Partition);
   if (ClaimIt == Claims.end() ||
-      ClaimIt->second.ClaimBallot != Reply.Ownership.WriterBallot ||
-      ClaimIt->second.Won)
+      ClaimIt->second.ClaimBallot != Reply.Ownership.WriterBallot)
     return;
+  if (ClaimIt->second.Won) {
+    // Not needed for the claim, but shows which ends this copy has.
+    ClaimIt->second.Replies.try_emplace(Sender, Reply);
+    return;
+  }
   if (Reply.Promised > Reply.Ownership.WriterBallot) {
     recordRound(Reply.Ownership.Partition, Reply.Promised);
     Claims.erase(ClaimIt);
@@ -318,9 +373,10 @@
         CopiesWithEnd[Record.Submission.Id].insert(Sender);
     }
   for (const auto &[Id, Record] : Newest) {
-    // The end of the job is already durable.
-    if (isMajority(Voters, CopiesWithEnd[Id]))
+    if (const auto &WithEnd = CopiesWithEnd[Id]; isMajority(Voters, WithEnd)) {
+      adoptDurableEnd(Record, WithEnd, Now);
       continue;
+    }
     // Two partitions never both commit a job, so an owned job is replaced only
     // if the other one is committed and the owned one is not.
     const auto OwnIt = Jobs.find(Id);
@@ -344,6 +400,30 @@
   }
 }
 
+void JobWriter::adoptDurableEnd(const JobRecord &Record,
+                                const std::set<std::string> &CopiesWithEnd,
+                                Instant Now) {
+  const std::string &Id = Record.Submission.Id;
+  const bool AllVotersHaveEnd =
+      std::ranges::all_of(Voters.Voters, [&](const std::string &Voter) {
+        return CopiesWithEnd.contains(Voter);
+      });
+  if (AllVotersHaveEnd || Jobs.contains(Id))
+    return;
+  OwnedJob &Job = Jobs[Id];
+  Job.Progress.Outcome = Record.Progress.Outcome;
+  Job.Partition = Record.Partition;
+  Job.Version = Record.Version;
+  Job.DurableVersion = Record.Version;
+  Job.Committed = true;
+  Job.TakenOver = true;
+  Job.StoredReported = true;
+  Job.LastSent = Now;
+  for (const std::string &Address : CopiesWithEnd)
+    Job.AckedVersions[Address] = Record.Version;
+  keepEnd(Id, Job);
+}
+
 void JobWriter::handle(const std::string &Sender,
                        const WriterLeaseRenewed &Reply, Instant) {
   const std::vector<std::string> Fenced = Reply.Fenced;
@@ -377,17 +457,58 @@
     send(Voter, Message);
 }
 
+void JobWriter::sendInBatches(const std::string &Address,
+                              const std::string &Partition,
+                              const std::vector<JobWrite> &Writes) {
+  const PartitionOwnership Ownership{Partition, OwnedPartitions.at(Partition)};
+  for (std::size_t Begin = 0; Begin < Writes.size(); Begin += JobsPerMessage) {
+    const std::size_t End = std::min(Begin + JobsPerMessage, Writes.size());
+    send(Address,
+         WriteJobs{Ownership,
+                   Voters.Epoch,
+                   {Writes.begin() + static_cast<std::ptrdiff_t>(Begin),
+                    Writes.begin() + static_cast<std::ptrdiff_t>(End)}});
+  }
+}
+
 void JobWriter::resend(Instant Now) {
-  for (auto &[Id, Job] : Jobs) {
-    if (Now - Job.LastSent < Limits.WriteRetryDelay)
+  if (Now < NextResend)
+    return;
+  NextResend = Now + ResendCheckPeriod;
+  // Writes by address of the copy and by partition.
+  std::map<std::pair<std::string, std::string>, std::vector<JobWrite>> Batches;
+  for (auto It = Jobs.begin(); It != Jobs.end();) {
+    auto &[Id, Job] = *It;
+    if (Now - Job.LastSent < Limits.WriteRetryDelay) {
+      ++It;
+      continue;
+    }
+    // The voters may have changed since the last acknowledgement.
+    if (isSettled(Job)) {
+      It = forget(It);
       continue;
-    Job.LastSent = Now;
-    for (const std::string &Address : Copies) {
-      const auto AckIt = Job.AckedVersions.find(Address);
-      if (AckIt == Job.AckedVersions.end() || AckIt->second < Job.Version)
-        writeToCopy(Address, Id, Job);
     }
+    Job.LastSent = Now;
+    for (const std::string &Address : Copies)
+      if (!hasNewestVersion(Job, Address))
+        Batches[{Address, Job.Partition}].push_back(
+            makeWrite(Address, Id, Job));
+    ++It;
   }
+  for (const auto &[Target, Writes] : Batches)
+    sendInBatches(Target.first, Target.second, Writes);
+  limitUnsettledEnds();
+}
+
+void JobWriter::limitUnsettledEnds() {
+  if (UnsettledEnds.empty())
+    ForgetsEnds = false;
+  if (UnsettledEnds.size() <= Limits.MaxUnsettledEnds)
+    return;
+  while (UnsettledEnds.size() > Limits.MaxUnsettledEnds)
+    forget(Jobs.find(UnsettledEnds.begin()->second));
+  if (!std::exchange(ForgetsEnds, true))
+    Effects.emplace_back(EndsForgotten{UnsettledEnds.size()});
 }
 
 void JobWriter::tick(Instant Now) {
--- a/src/jobstore/jobwriter.h
+++ b/src/jobstore/jobwriter.h
@@ -28,6 +28,9 @@
   Duration WriteRetryDelay = std::chrono::milliseconds(400);
   /// A claim without a majority is abandoned after this time.
   Duration ClaimTimeout = std::chrono::milliseconds(1000);
+  /// Maximum number of durable ends that are kept for voters that do not
+  /// acknowledge them. Bounds the memory while a voter is gone for long.
+  std::size_t MaxUnsettledEnds = 10000;
 };
 
 /// Stores the jobs that one VM runs. Jobs are grouped in partitions. A VM opens
@@ -83,6 +86,11 @@
   const JobProgress *find(const std::string &Id) const;
   /// Returns true if this writer owns the job and its end is durable.
   bool endDurable(const std::string &Id) const;
+  /// Returns true if the end of the job in \p Record is known to be durable.
+  /// Only the writer of its partition knows.
+  bool confirmsEnd(const JobRecord &Record) const;
+  /// Number of jobs that this writer keeps, running and ended ones.
+  std::size_t jobCount() const { return Jobs.size(); }
   /// Returns the newest version of an owned job, or 0 if this writer does not
   /// own it.
   uint64_t version(const std::string &Id) const;
@@ -109,7 +117,10 @@
     /// Highest acknowledged version by copy.
     std::map<std::string, uint64_t> AckedVersions;
     Instant LastSent;
+    /// Position in UnsettledEnds; 0 until the end of the job is durable.
+    uint64_t EndNumber = 0;
   };
+  using JobMap = std::map<std::string, OwnedJob>;
   struct Claim {
     Ballot ClaimBallot;
     Instant Started;
@@ -130,9 +141,21 @@
   void writeToCopies(const std::string &Id, OwnedJob &Job, Instant Now);
   void writeToCopy(const std::string &Address, const std::string &Id,
                    const OwnedJob &Job);
+  static JobWrite makeWrite(const std::string &Address, const std::string &Id,
+                            const OwnedJob &Job);
+  void sendInBatches(const std::string &Address, const std::string &Partition,
+                     const std::vector<JobWrite> &Writes);
   void handleAcknowledgement(const std::string &Sender,
                              const StoredVersion &Stored, Instant Now);
   void handleDurable(const std::string &Id, OwnedJob &Job, Instant Now);
+  /// Keeps only what copies need to know of a job whose end is durable.
+  void keepEnd(const std::string &Id, OwnedJob &Job);
+  /// Returns true if the end of the job is durable and all voters have it, and
+  /// all other copies that are linked.
+  bool isSettled(const OwnedJob &Job) const;
+  bool hasNewestVersion(const OwnedJob &Job, const std::string &Address) const;
+  /// Forgets a job and returns the iterator to the next one.
+  JobMap::iterator forget(JobMap::iterator It);
   void handleConflict(const std::string &Sender,
                       const std::string &WrittenPartition,
                       const JobConflict &Conflict);
@@ -142,8 +165,13 @@
   void openPartition();
   void takeOver(const std::string &Partition, const Claim &WonClaim,
                 Instant Now);
+  /// Keeps a job of a partition that was taken over whose end is durable, so
+  /// that the voters that lack the end get it.
+  void adoptDurableEnd(const JobRecord &Record,
+                       const std::set<std::string> &CopiesWithEnd, Instant Now);
   void renewLease(Instant Now);
   void resend(Instant Now);
+  void limitUnsettledEnds();
   uint64_t majorityVersion(const OwnedJob &Job) const;
 
   JobWriterLimits Limits;
@@ -158,11 +186,16 @@
   std::map<std::string, Claim> Claims;
   /// Highest ballot round seen, by partition.
   std::map<std::string, uint64_t> HighestRounds;
-  std::map<std::string, OwnedJob> Jobs;
+  JobMap Jobs;
+  /// Jobs whose ends are durable but not settled, oldest end first.
+  std::map<uint64_t, std::string> UnsettledEnds;
+  uint64_t NextEndNumber = 1;
+  bool ForgetsEnds = false;
   /// Id of the copy that each VM holds.
   std::map<std::string, uint64_t> CopyIds;
   uint64_t RenewNumber = 0;
   Instant RenewSent;
+  Instant NextResend;
   std::set<std::string> RenewedBy;
   Instant WriterLeaseEnd;
   std::vector<WriterEffect> Effects;
--- a/src/jobstore/tests/jobstore_test.cpp
+++ b/src/jobstore/tests/jobstore_test.cpp
@@ -127,8 +127,99 @@
   CHECK(Network.Violations.empty());
 }
 
-// Guards against lost task progress and against two VMs that run the same job,
-// under crashes, lost disks, network partitions and lost messages.
+// Guards against a finished job that runs again: a writer that was cut off
+// forgot a job that had ended as soon as the copies in its reach had the end,
+// showed it as done, and another VM took it over as open.
+TEST_CASE("an end that only the writer's own copy has is not shown") {
+  JobStoreNetwork Network(3, 7);
+  Network.submit(vmName(0), "j1");
+  Network.run(milliseconds(300));
+  Network.setIsolated(vmName(0), true);
+  Network.endJob(vmName(0), "j1");
+  Network.run(milliseconds(500));
+  CHECK(Network.hasEnd(vmName(0), "j1"));
+  CHECK_FALSE(Network.showsEnd(vmName(0), "j1"));
+  Network.run(seconds(6));
+  CHECK(Network.running(vmName(1)).size() + Network.running(vmName(2)).size() ==
+        1);
+  CHECK(Network.Violations.empty());
+}
+
+// Guards against an end that is never sent to the copies that a writer could
+// not reach when the job ended.
+TEST_CASE("an end reaches the other copies once they are in reach again") {
+  JobStoreNetwork Network(3, 8);
+  Network.submit(vmName(0), "j1");
+  Network.run(milliseconds(300));
+  Network.setIsolated(vmName(0), true);
+  Network.endJob(vmName(0), "j1");
+  Network.run(milliseconds(500));
+  Network.setIsolated(vmName(0), false);
+  Network.run(seconds(1));
+  CHECK(Network.showsEnd(vmName(0), "j1"));
+  for (const std::string &Name : Network.names())
+    CHECK(Network.hasEnd(Name, "j1"));
+  CHECK(Network.keptJobs(vmName(0)) == 0);
+}
+
+// Guards against a finished job that runs again minutes later: a copy that was
+// cut off still had it as open after the other copies had forgotten its end.
+TEST_CASE("a copy that missed an end gets it however late it returns") {
+  JobStoreNetwork Network(3, 9);
+  Network.submit(vmName(0), "j1");
+  Network.run(milliseconds(300));
+  Network.setIsolated(vmName(2), true);
+  Network.endJob(vmName(0), "j1");
+  Network.run(seconds(140));
+  Network.setIsolated(vmName(2), false);
+  Network.run(seconds(2));
+  Network.crash(vmName(0), false);
+  Network.run(seconds(8));
+  CHECK(Network.running(vmName(1)).empty());
+  CHECK(Network.running(vmName(2)).empty());
+  CHECK(Network.Violations.empty());
+}
+
+// Guards against the same after a takeover: the new writer left out the jobs
+// whose ends a majority had.
+TEST_CASE("a new writer sends durable ends to the copies that lack them") {
+  JobStoreNetwork Network(5, 10);
+  Network.submit(vmName(0), "j1");
+  Network.run(milliseconds(300));
+  Network.setIsolated(vmName(4), true);
+  Network.endJob(vmName(0), "j1");
+  Network.run(seconds(1));
+  Network.crash(vmName(0), false);
+  Network.run(seconds(6));
+  Network.setIsolated(vmName(4), false);
+  Network.run(seconds(1));
+  CHECK(Network.hasEnd(vmName(4), "j1"));
+  CHECK(Network.Violations.empty());
+}
+
+// Guards against memory that grows for as long as a voter is gone.
+TEST_CASE("a writer keeps a limited number of ends for a voter that is gone") {
+  JobWriterLimits Limits;
+  Limits.MaxUnsettledEnds = 10;
+  JobStoreNetwork Network(3, 11, Limits);
+  Network.setIsolated(vmName(2), true);
+  for (int Number = 0; Number < 30; ++Number) {
+    Network.submit(vmName(0), "j" + std::to_string(Number));
+    Network.run(milliseconds(200));
+    Network.endAnyJob(vmName(0));
+  }
+  Network.run(seconds(1));
+  CHECK(Network.keptJobs(vmName(0)) == 10);
+  CHECK(Network.hasEnd(vmName(1), "j0"));
+  Network.setIsolated(vmName(2), false);
+  Network.run(seconds(1));
+  CHECK(Network.hasEnd(vmName(2), "j29"));
+  CHECK(Network.keptJobs(vmName(0)) == 0);
+}
+
+// Guards against lost task progress, against two VMs that run the same job and
+// against a finished job that runs again, under crashes, lost disks, network
+// partitions and lost messages.
 TEST_CASE("random faults neither lose progress nor let two VMs run a job") {
   for (uint64_t Seed = 1; Seed <= 60; ++Seed) {
     CAPTURE(Seed);
@@ -150,6 +241,8 @@
           });
       Network.submit(Name, "j" + std::to_string(Jobs++ % 60));
       Network.finishTask(Names[Rng() % Names.size()]);
+      if (Round % 5 == 0)
+        Network.endAnyJob(Names[Rng() % Names.size()]);
       switch (Rng() % 12) {
       case 0:
         // Wipe one disk at a time, after the previous one has been rebuilt.
--- a/src/jobstore/types/jobstoreeffect.h
+++ b/src/jobstore/types/jobstoreeffect.h
@@ -107,8 +107,15 @@
   std::vector<std::string> Ids;
 };
 
+/// More ends than the writer keeps wait for voters that do not acknowledge
+/// them; from now on it forgets the oldest ones. Emitted once until all are
+/// acknowledged.
+struct EndsForgotten {
+  std::size_t KeptEnds = 0;
+};
+
 using WriterEffect = std::variant<SendToCopy, JobStored, JobHeldElsewhere,
-                                  ProgressStored, JobsLost>;
+                                  ProgressStored, JobsLost, EndsForgotten>;
 
 } // namespace sapphiremoor
 
