Send only durable ends together, and withdrawals once for all given-up jobs

Writes of running jobs that are sent again go in messages of their own, as before: 200 of them with many tasks each could exceed the largest frame of a link, which is refused without an answer, so none of them would ever arrive. An entry VM that returns from a pause adds a withdrawal for each open job and no longer looks at all pending ones each time.

--- a/src/cluster/internal/entrynode.cpp
+++ b/src/cluster/internal/entrynode.cpp
@@ -31,8 +31,8 @@
 /// are read; requests are refused meanwhile.
 constexpr Duration StaleRequestPeriod = std::chrono::milliseconds(100);
 
-/// Time after the deadline of a job within which its dispatcher has certainly
-/// ended it: the dispatcher measures the deadline from the job's arrival there.
+/// Time after the deadline of a job within which its dispatcher ends the job by
+/// itself. It measures the deadline from the job's arrival there.
 constexpr Duration WithdrawalRetention = std::chrono::seconds(1);
 
 constexpr Duration QueryTimeout = std::chrono::milliseconds(700);
@@ -120,8 +120,10 @@
 
 void EntryNode::abandon(uint64_t Request) {
   const auto It = OpenJobs.find(Request);
-  if (It != OpenJobs.end() && !It->second.Submission.Stored)
-    giveUp(Request, JobReason::CallerGone);
+  if (It == OpenJobs.end() || It->second.Submission.Stored)
+    return;
+  giveUp(Request, JobReason::CallerGone);
+  sendWithdrawals();
 }
 
 std::optional<std::string>
@@ -217,7 +219,6 @@
          std::max(Job.Deadline, Loop.now()) + WithdrawalRetention});
   finishJob(Number,
             {{Settings.Name, Number}, Id, JobResult::GivenUp, Reason, 0, {}});
-  sendWithdrawals();
 }
 
 void EntryNode::sendWithdrawals() {
--- a/src/jobstore/internal/jobwriter.cpp
+++ b/src/jobstore/internal/jobwriter.cpp
@@ -21,9 +21,8 @@
 
 constexpr Duration ResendCheckPeriod = std::chrono::milliseconds(100);
 
-/// Limit on the jobs of one message that is sent again. Keeps it far below the
-/// largest frame of a link.
-constexpr std::size_t JobsPerMessage = 200;
+/// Limit on the durable ends in one message.
+constexpr std::size_t EndsPerMessage = 200;
 
 bool hasEnded(const JobProgress &Progress) {
   return Progress.Outcome != StoredOutcome::Open;
@@ -457,12 +456,12 @@
     send(Voter, Message);
 }
 
-void JobWriter::sendInBatches(const std::string &Address,
-                              const std::string &Partition,
-                              const std::vector<JobWrite> &Writes) {
+void JobWriter::sendEnds(const std::string &Address,
+                         const std::string &Partition,
+                         const std::vector<JobWrite> &Writes) {
   const PartitionOwnership Ownership{Partition, OwnedPartitions.at(Partition)};
-  for (std::size_t Begin = 0; Begin < Writes.size(); Begin += JobsPerMessage) {
-    const std::size_t End = std::min(Begin + JobsPerMessage, Writes.size());
+  for (std::size_t Begin = 0; Begin < Writes.size(); Begin += EndsPerMessage) {
+    const std::size_t End = std::min(Begin + EndsPerMessage, Writes.size());
     send(Address,
          WriteJobs{Ownership,
                    Voters.Epoch,
@@ -475,8 +474,8 @@
   if (Now < NextResend)
     return;
   NextResend = Now + ResendCheckPeriod;
-  // Writes by address of the copy and by partition.
-  std::map<std::pair<std::string, std::string>, std::vector<JobWrite>> Batches;
+  // Durable ends by address of the copy and by partition.
+  std::map<std::pair<std::string, std::string>, std::vector<JobWrite>> Ends;
   for (auto It = Jobs.begin(); It != Jobs.end();) {
     auto &[Id, Job] = *It;
     if (Now - Job.LastSent < Limits.WriteRetryDelay) {
@@ -489,14 +488,18 @@
       continue;
     }
     Job.LastSent = Now;
-    for (const std::string &Address : Copies)
-      if (!hasNewestVersion(Job, Address))
-        Batches[{Address, Job.Partition}].push_back(
-            makeWrite(Address, Id, Job));
+    for (const std::string &Address : Copies) {
+      if (hasNewestVersion(Job, Address))
+        continue;
+      if (Job.EndNumber == 0)
+        writeToCopy(Address, Id, Job);
+      else
+        Ends[{Address, Job.Partition}].push_back(makeWrite(Address, Id, Job));
+    }
     ++It;
   }
-  for (const auto &[Target, Writes] : Batches)
-    sendInBatches(Target.first, Target.second, Writes);
+  for (const auto &[Target, Writes] : Ends)
+    sendEnds(Target.first, Target.second, Writes);
   limitUnsettledEnds();
 }
 
--- a/src/jobstore/jobwriter.h
+++ b/src/jobstore/jobwriter.h
@@ -143,8 +143,9 @@
                    const OwnedJob &Job);
   static JobWrite makeWrite(const std::string &Address, const std::string &Id,
                             const OwnedJob &Job);
-  void sendInBatches(const std::string &Address, const std::string &Partition,
-                     const std::vector<JobWrite> &Writes);
+  /// Sends durable ends, several in a message.
+  void sendEnds(const std::string &Address, const std::string &Partition,
+                const std::vector<JobWrite> &Writes);
   void handleAcknowledgement(const std::string &Sender,
                              const StoredVersion &Stored, Instant Now);
   void handleDurable(const std::string &Id, OwnedJob &Job, Instant Now);
