--- a/src/cluster/entrynode.h
+++ b/src/cluster/entrynode.h
@@ -121,9 +121,9 @@
   bool handOver(uint64_t Number, OpenJob &Job,
                 const std::string &DispatcherName, bool Resumed = false);
   void finishJob(uint64_t Number, const JobAnswer &Answer);
-  /// Answers that the job was given up, and adds a pending withdrawal unless the
-  /// job is stored: a stored job runs to its end, and its caller asks for its
-  /// status.
+  /// Answers that the job was given up, and adds a pending withdrawal unless
+  /// the job is stored: a stored job runs to its end, and its caller asks for
+  /// its status.
   void giveUp(uint64_t Number, JobReason Reason);
   /// Sends the pending withdrawals whose dispatchers can be reached.
   void sendWithdrawals();
