Test random callers that disconnect and send their jobs again

The new one has two dispatchers, lost orders, silent and crashing backend servers, and callers that disconnect at random times and come back 1.3 s later to either dispatcher.

--- a/src/dispatch/tests/dispatcher_test.cpp
+++ b/src/dispatch/tests/dispatcher_test.cpp
@@ -475,6 +475,103 @@
   }
 }
 
+namespace {
+
+/// Callers that disconnect at random times and send their jobs again, each time
+/// to one of two dispatchers.
+class ResendingCallers {
+public:
+  ResendingCallers(FakeBackends &Simulation, uint64_t Seed)
+      : Simulation(Simulation), Rng(Seed) {}
+
+  void submit(const JobSubmission &Job) {
+    const std::string Dispatcher = Rng() % 2 == 0 ? "d1" : "d2";
+    const uint64_t Request = Simulation.submit(Dispatcher, Job);
+    Open.push_back({Simulation.Now + milliseconds(Rng() % 2000), Job,
+                    Dispatcher, Request});
+  }
+
+  /// Withdraws the requests of callers that disconnect now, and sends the jobs
+  /// whose callers have waited.
+  void step() {
+    for (const Attempt &Ended : takeDue(Open)) {
+      Simulation.withdraw(Ended.Dispatcher, Ended.Job.Id, Ended.Request);
+      Waiting.push_back({Simulation.Now + ResendPause, Ended.Job, {}, 0});
+    }
+    for (const Attempt &Next : takeDue(Waiting))
+      submit(Next.Job);
+  }
+
+private:
+  static constexpr Duration ResendPause = milliseconds(1300);
+
+  struct Attempt {
+    /// Time of the disconnect, or of the next submission.
+    Instant Due;
+    JobSubmission Job;
+    std::string Dispatcher;
+    uint64_t Request = 0;
+  };
+
+  std::vector<Attempt> takeDue(std::vector<Attempt> &Attempts) const {
+    const auto DueAttempts =
+        std::ranges::stable_partition(Attempts, [this](const Attempt &Item) {
+          return Item.Due > Simulation.Now;
+        });
+    const std::vector<Attempt> Taken(DueAttempts.begin(), DueAttempts.end());
+    Attempts.erase(DueAttempts.begin(), DueAttempts.end());
+    return Taken;
+  }
+
+  FakeBackends &Simulation;
+  Random Rng;
+  std::vector<Attempt> Open;
+  std::vector<Attempt> Waiting;
+};
+
+} // namespace
+
+// Guards against two runs of a task at once after callers have disconnected and
+// sent their jobs again, to the same dispatcher or to another one, while orders
+// are lost and backend servers fall silent or crash.
+TEST_CASE("random callers that send their jobs again cause no second run") {
+  for (uint64_t Seed = 1; Seed <= 100; ++Seed) {
+    CAPTURE(Seed);
+    FakeBackends Simulation(Seed);
+    Simulation.addDispatcher("d1", 1);
+    Simulation.addDispatcher("d2", 2);
+    for (int Number = 0; Number < 4; ++Number) {
+      const std::string Id = "b" + std::to_string(Number);
+      Simulation.addBackend(Id, SmallCapacity);
+      Simulation.assign(Id, Number < 2 ? "d1" : "d2");
+    }
+    Simulation.run(milliseconds(50));
+    Simulation.LossShare = 0.01 * static_cast<double>(Seed % 8);
+    Random Rng(Seed);
+    ResendingCallers Callers(Simulation, Seed);
+    for (int Round = 0; Round < 200; ++Round) {
+      if (Round < 120)
+        Callers.submit(makeSimpleJob("j" + std::to_string(Round),
+                                     1 + static_cast<uint32_t>(Rng() % 2),
+                                     100 + static_cast<int64_t>(Rng() % 2500)));
+      const std::string Backend = "b" + std::to_string(Rng() % 4);
+      if (const uint64_t Fault = Rng() % 24; Fault == 0)
+        Simulation.setSilent(Backend, true);
+      else if (Fault < 3)
+        Simulation.setSilent(Backend, false);
+      else if (Fault == 3)
+        Simulation.crash(Backend, milliseconds(100 + Rng() % 1000));
+      Simulation.run(milliseconds(Rng() % 80));
+      Callers.step();
+    }
+    // A refusal of a second attempt says nothing about the first one.
+    std::erase_if(Simulation.Violations, [](const std::string &Violation) {
+      return Violation.starts_with("answered not run");
+    });
+    CHECK(Simulation.Violations == std::vector<std::string>{});
+  }
+}
+
 // Guards against a backend server that leaves and still gets tasks: its run
 // list told of the restart before its report did, and the numbers of its
 // reports start anew with each incarnation.
