Look for libraries and tools of developers only with the tests

What users saw: the build of the deploy file failed on a clean machine that holds only the packages of deploy/system.toml, so no process started.

Cause: three modules looked for rapidcheck whether or not the tests are built (find_package, find_library, both REQUIRED), and the deploy file does not declare it. Nobody saw it because every machine of the developers has the packages of scripts/install-packages. Class: the build depends on what happens to be installed. Two more of that class were found by the test: ccache was looked for and not used, and FindOpenSSL asks pkg-config if it is there.

Evidence: the listed test names rapidcheck, ccache and pkg-config; a trial on a machine without rapidcheck stops in src/framework/storage/CMakeLists.txt.

Declaring rapidcheck instead would have kept a test library on the users' machines.

--- a/cmake/dependencies.cmake
+++ b/cmake/dependencies.cmake
@@ -1,4 +1,10 @@
-# Libraries from Debian packages; scripts/install-packages lists them.
+# Libraries from Debian packages: deploy/system.toml lists those of the program,
+# scripts/install-packages also those of the tests. What only tests use is looked for
+# only with the tests; a clean machine does not have it.
+
+# FindOpenSSL would ask pkg-config where it happens to be installed.
+set(PKG_CONFIG_EXECUTABLE "")
+
 find_package(Threads REQUIRED)
 find_package(OpenSSL REQUIRED COMPONENTS Crypto)
 find_package(ZLIB REQUIRED)
@@ -6,6 +12,7 @@
 find_package(nlohmann_json REQUIRED)
 if(SAPPHIREMOOR_TESTS)
   find_package(doctest REQUIRED)
+  find_package(rapidcheck REQUIRED)
   include(doctest)
 endif()
 
