Keep the packages of the program in one list

The deploy file and scripts/install-packages each had a list of the packages that the program needs. make was only in the first one, and rapidcheck only in the second, which is how the deploy build came to rely on it unnoticed.

The deploy file is read by one pair of functions, which the tests of the packages use too.

--- a/tests/packages/deploybuild_test.sh
+++ b/tests/packages/deploybuild_test.sh
@@ -13,11 +13,7 @@
 
 folder=$(readlink -f "$(mktemp -d)")
 trap 'rm -rf "$folder"' EXIT
-mkdir "$folder/source"
-cd "$checkout"
-git ls-files -z --cached --others --exclude-standard -- ':!journal' |
-  tar -c --null --ignore-failed-read -T - | tar -x -C "$folder/source"
-
+copy_checkout "$checkout" "$folder/source"
 cd "$folder/source"
 deploy_packages deploy/system.toml | clean_machine_packages >"$folder/packages"
 package_files >"$folder/files"
--- a/tests/packages/packages.sh
+++ b/tests/packages/packages.sh
@@ -4,14 +4,14 @@
 # A clean machine has the base packages (essential or required ones, and apt) and
 # what `apt-get install --no-install-recommends` adds for the declared packages.
 
-# Prints the build command of the deploy file $1.
-deploy_build_command() {
-  sed -n 's/^build = "\(.*\)"$/\1/p' "$1"
-}
+source "$(dirname "${BASH_SOURCE[0]}")/../../scripts/deploy-file"
 
-# Prints the packages of the deploy file $1, one a line.
-deploy_packages() {
-  tr '\n' ' ' <"$1" | sed -n 's/.*packages = \[\([^]]*\)\].*/\1/p' | tr ',' '\n' | tr -d ' "'
+# Copies the files of the checkout $1, those not committed yet too, to the new
+# folder $2, as a clean machine gets them.
+copy_checkout() {
+  mkdir "$2"
+  (cd "$1" && git ls-files -z --cached --others --exclude-standard -- ':!journal' |
+    tar -c --null --ignore-failed-read -T -) | tar -x -C "$2"
 }
 
 # Prints the packages of a clean machine after the packages on standard input,
