Expose the memory of a process

What was missing: a process that ends by a signal writes a backtrace, one that rejects its settings or its data folder logs settings_rejected, and one that is stopped logs that; a process that is killed for its memory leaves nothing, so logs and metrics could not tell whether that happened.

Evidence: metrics_tests, two new cases.

--- a/src/cluster/internal/metricsserver.cpp
+++ b/src/cluster/internal/metricsserver.cpp
@@ -1,6 +1,7 @@
 #include "cluster/metricsserver.h"
 
 #include "framework/eventlog/eventlog.h"
+#include "framework/metrics/processmemory.h"
 
 namespace sapphiremoor {
 
@@ -8,6 +9,7 @@
                              Registry &Metrics)
     : Server(
           Loop, {}, [&Metrics](const HttpRequest &, const Responder &Client) {
+            recordProcessMemory(Metrics);
             Client.respond({200, Metrics.text(), "text/plain; version=0.0.4"});
           }) {
   if (!Settings.Metrics)
--- a/src/daemon/internal/httpapi.cpp
+++ b/src/daemon/internal/httpapi.cpp
@@ -2,6 +2,7 @@
 
 #include "daemon/internal/configjson.h"
 #include "framework/eventlog/eventlog.h"
+#include "framework/metrics/processmemory.h"
 #include "gateway/answerformat.h"
 #include "gateway/route.h"
 #include "leases/parseannouncement.h"
@@ -219,6 +220,7 @@
 }
 
 void HttpApi::perform(const ApiCall &Call, const ShowMetricsCommand &) {
+  recordProcessMemory(Services.Metrics);
   const char *Help = "Bytes on the links between VMs.";
   const PeerNetwork &Network = Services.Router.network();
   Services.Metrics
--- a/src/framework/metrics/tests/metrics_test.cpp
+++ b/src/framework/metrics/tests/metrics_test.cpp
@@ -1,3 +1,4 @@
+#include "framework/metrics/processmemory.h"
 #include "framework/metrics/registry.h"
 
 #include <doctest/doctest.h>
@@ -95,3 +96,27 @@
   CHECK(contains(Text, "wait_seconds_sum{service=\"quote\"} 0.55\n"));
   CHECK(contains(Text, "wait_seconds_count{service=\"quote\"} 2\n"));
 }
+
+// Guards against a process that is ended for its memory and leaves no trace of
+// it.
+TEST_CASE("the memory of the process is exposed and grows with what it holds") {
+  constexpr std::size_t HeldBytes = std::size_t{32} << 20;
+  const std::vector<char> Held(HeldBytes, 'x');
+  Registry Metrics;
+  recordProcessMemory(Metrics);
+  const double Resident =
+      Metrics.gauge("process_resident_memory_bytes", "").value();
+  const double Peak = Metrics.gauge("process_peak_memory_bytes", "").value();
+  CHECK(Resident >= static_cast<double>(Held.size()));
+  CHECK(Peak >= Resident);
+}
+
+// Guards against a gauge of 0 where the kernel tells no size.
+TEST_CASE("a process status without sizes gives no memory") {
+  CHECK(
+      parseProcessStatus("Name:\ta\nVmHWM:\t  2048 kB\nVmRSS:\t  1024 kB\n") ==
+      ProcessMemory{1048576, 2097152});
+  CHECK_FALSE(parseProcessStatus(""));
+  CHECK_FALSE(parseProcessStatus("Name:\ta\nVmRSS:\t  1024 kB\n"));
+  CHECK_FALSE(parseProcessStatus("Name:\ta\nVmHWM:\t kB\nVmRSS:\t 1 kB\n"));
+}
