Split paths without iterators that GCC 11 lacks

What users would see: the deploy build fails with g++ 11. Nobody reported it; the declared package g++ is version 12 on the distribution that the packages are from.

Cause: std::views::split gives parts without common iterators in GCC 11, so a string cannot be made of a pair of them.

--- a/src/gateway/internal/route.cpp
+++ b/src/gateway/internal/route.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <iterator>
 #include <ranges>
 #include <string_view>
 #include <vector>
@@ -17,8 +18,10 @@
 
 Segments splitPath(std::string_view Path) {
   Segments Parts;
+  // GCC 11 has no common iterators for the parts, so a string cannot be made
+  // of a pair of them.
   for (const auto Part : std::views::split(Path, '/'))
-    Parts.emplace_back(Part.begin(), Part.end());
+    std::ranges::copy(Part, std::back_inserter(Parts.emplace_back()));
   // The path starts with '/', so the first part is empty.
   if (!Parts.empty())
     Parts.erase(Parts.begin());
