Fail the tests of the packages if their list of read files is not whole

A comparison with a list that lacks the headers, the link or the loaded libraries would find nothing and pass. The list has to name a file of each kind.

--- a/tests/packages/deploybuild_test.sh
+++ b/tests/packages/deploybuild_test.sh
@@ -34,11 +34,14 @@
     xargs -0 cat | tr -s ' \\:' '\n' | grep '^/'
   loaded_libraries target/src/app/sapphiremoor
 }
+read_files >"$folder/read" 2>/dev/null || true
 if [ "$status" -ne 0 ]; then
   tail -n 30 "$folder/build.txt"
   echo "The deploy build failed with status $status."
+else
+  check_list_whole "$folder/read" /c++ FindOpenSSL.cmake nlohmann/json.hpp /crti.o libcrypto.so libc.so.6 || status=1
 fi
-undeclared=$(read_files 2>/dev/null | undeclared_files "$folder/packages" "$folder/files" "$folder") || true
+undeclared=$(undeclared_files "$folder/packages" "$folder/files" "$folder" <"$folder/read")
 if [ -n "$undeclared" ]; then
   echo "The deploy build finds or reads files of packages that deploy/system.toml does not declare:"
   echo "$undeclared"
--- a/tests/packages/packages.sh
+++ b/tests/packages/packages.sh
@@ -88,7 +88,7 @@
   local packages=$1 files=$2
   shift 2
   sort -u | while read -r path; do
-    [ -f "$path" ] && readlink -f "$path"
+    if [ -f "$path" ]; then readlink -f "$path"; fi
   done | sort -u | awk -F'\t' -v folders="$*" '
     BEGIN { count = split(folders, own, " ") }
     FILENAME == ARGV[1] { declared[$1] = 1; next }
@@ -100,6 +100,19 @@
     }' "$packages" "$files" - | sort
 }
 
+# Fails if the file $1, a list of paths, has none that contains one of the words
+# $2...: then the list is not whole, and a comparison with it shows nothing.
+check_list_whole() {
+  local list=$1 word
+  shift
+  for word in "$@"; do
+    grep -q -F -e "$word" "$list" || {
+      echo "No $word among the files that the build read; the test shows nothing."
+      return 1
+    }
+  done
+}
+
 # Prints the files that the cache of the CMake build folder $1 names.
 cache_files() {
   sed -n 's/^[^#/][^=]*:\(FILEPATH\|PATH\|INTERNAL\|STRING\)=//p' "$1/CMakeCache.txt" | tr ';' '\n' | grep '^/'
--- a/tests/packages/quickstart_test.sh
+++ b/tests/packages/quickstart_test.sh
@@ -35,7 +35,11 @@
   ninja -C "$build" -t commands "${programs[@]#"$build/"}" | tr ' ' '\n'
   loaded_libraries "${programs[@]}"
 }
-undeclared=$(read_files 2>/dev/null | undeclared_files "$folder/packages" "$folder/files" "$folder" "$checkout") || true
+read_files >"$folder/read" 2>/dev/null || true
+if [ "$status" -eq 0 ]; then
+  check_list_whole "$folder/read" /c++ FindOpenSSL.cmake nlohmann/json.hpp libcrypto.so libc.so.6 || status=1
+fi
+undeclared=$(undeclared_files "$folder/packages" "$folder/files" "$folder" "$checkout" <"$folder/read")
 if [ -n "$undeclared" ]; then
   echo "The quickstart finds or reads files of packages that scripts/install-packages does not install:"
   echo "$undeclared"
