Pause accepting when a connection cannot be accepted

It may be part of what users saw at scale (a process that does not hand back the processor); not shown.

Cause: a connection that cannot be accepted for want of a descriptor stays in the queue of the listener, so the event loop reports it again at once, without end. libevent also wrote a warning each time.

Two tests that failed before: "a server without a free descriptor waits, and then accepts again", and the same for the links between VMs.

Change: an error of accept stops the listener and is logged (accept_failed, 206). The periodic check of each server and mesh lets it accept again, after 500 ms at most.

--- a/src/framework/eventlog/event.h
+++ b/src/framework/eventlog/event.h
@@ -28,6 +28,7 @@
                                          "dispatcher_changed"};
 inline constexpr Event TrustedNetwork{204, Level::Warning, "trusted_network"};
 inline constexpr Event StoodStill{205, Level::Warning, "stood_still"};
+inline constexpr Event AcceptFailed{206, Level::Error, "accept_failed"};
 inline constexpr Event BackendJoined{300, Level::Info, "backend_joined"};
 inline constexpr Event BackendLeaving{301, Level::Info, "backend_leaving"};
 inline constexpr Event BackendExpired{302, Level::Warning, "backend_expired"};
--- a/src/framework/net/internal/httpserver.cpp
+++ b/src/framework/net/internal/httpserver.cpp
@@ -1,5 +1,7 @@
 #include "framework/net/httpserver.h"
 
+#include "framework/net/internal/sockets.h"
+
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
@@ -266,6 +268,7 @@
     return Error{ErrorKind::Unreachable,
                  "cannot listen on " + describe(LocalEndpoint),
                  "choose a free port on an address of this VM"};
+  detail::stopAcceptingOnError(evhttp_bound_socket_get_listener(BoundSocket));
   sockaddr_in BoundAddress{};
   socklen_t Size = sizeof(BoundAddress);
   getsockname(evhttp_bound_socket_get_fd(BoundSocket),
@@ -368,6 +371,8 @@
 }
 
 void HttpServer::sweepConnections() {
+  if (BoundSocket != nullptr)
+    detail::resumeAccepting(evhttp_bound_socket_get_listener(BoundSocket));
   const Instant Now = Loop.now();
   std::erase_if(Monitors, [&](const auto &Entry) {
     const std::unique_ptr<ConnectionMonitor> &Monitor = Entry.second;
--- a/src/framework/net/internal/peermesh.cpp
+++ b/src/framework/net/internal/peermesh.cpp
@@ -208,6 +208,7 @@
 }
 
 void PeerMesh::checkSilence() {
+  detail::resumeAccepting(Listener);
   const Instant Now = Loop.now();
   const Error TimeoutError{
       ErrorKind::Timeout,
--- a/src/framework/net/internal/peernetwork.cpp
+++ b/src/framework/net/internal/peernetwork.cpp
@@ -193,6 +193,7 @@
 }
 
 void PeerNetwork::checkSilence() {
+  detail::resumeAccepting(Listener);
   const Instant Now = Loop.now();
   const Error TimeoutError{
       ErrorKind::Timeout,
--- a/src/framework/net/internal/sockets.cpp
+++ b/src/framework/net/internal/sockets.cpp
@@ -1,13 +1,24 @@
 #include "framework/net/internal/sockets.h"
 
+#include "framework/eventlog/eventlog.h"
+
 #include <arpa/inet.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <cerrno>
+#include <system_error>
+
 namespace sapphiremoor::detail {
 
 namespace {
 constexpr int ListenBacklog = 128;
+
+void onAcceptError(evconnlistener *Listener, void *) {
+  const std::error_code Cause(errno, std::system_category());
+  evconnlistener_disable(Listener);
+  logEvent(events::AcceptFailed, {{"error", Cause.message()}});
+}
 } // namespace
 
 Result<sockaddr_in> socketAddress(const Endpoint &Ep) {
@@ -47,6 +58,7 @@
     return Error{ErrorKind::Unreachable,
                  "cannot listen on " + describe(LocalEndpoint),
                  "choose a free port on an address of this VM"};
+  stopAcceptingOnError(NewListener.Listener);
   sockaddr_in BoundAddress{};
   socklen_t Size = sizeof(BoundAddress);
   getsockname(evconnlistener_get_fd(NewListener.Listener),
@@ -55,4 +67,13 @@
   return NewListener;
 }
 
+void stopAcceptingOnError(evconnlistener *Listener) {
+  evconnlistener_set_error_cb(Listener, onAcceptError);
+}
+
+void resumeAccepting(evconnlistener *Listener) {
+  if (Listener != nullptr)
+    evconnlistener_enable(Listener);
+}
+
 } // namespace sapphiremoor::detail
--- a/src/framework/net/internal/sockets.h
+++ b/src/framework/net/internal/sockets.h
@@ -33,6 +33,15 @@
                                      evconnlistener_cb OnAccept,
                                      void *Argument);
 
+/// Makes \p Listener stop accepting when a connection cannot be accepted, as
+/// without a free descriptor: the connection stays in the queue, and the event
+/// loop would try it again at once and without end. The owner calls
+/// resumeAccepting() at intervals.
+void stopAcceptingOnError(evconnlistener *Listener);
+
+/// Lets \p Listener accept again. Has no effect on one that does; may be null.
+void resumeAccepting(evconnlistener *Listener);
+
 } // namespace sapphiremoor::detail
 
 #endif // SAPPHIREMOOR_FRAMEWORK_NET_INTERNAL_SOCKETS_H
--- a/src/framework/net/tests/httpserver_test.cpp
+++ b/src/framework/net/tests/httpserver_test.cpp
@@ -1,5 +1,6 @@
 #include "framework/net/backendclient.h"
 #include "framework/net/httpserver.h"
+#include "framework/net/tests/freedescriptors.h"
 #include "framework/net/timer.h"
 
 #include <doctest/doctest.h>
@@ -279,3 +280,21 @@
   Request.Path = "/";
   CHECK(callAndWait(Loop, Client, Port, Request).StatusCode == 500);
 }
+
+// Guards against a process that uses its whole processor without a free
+// descriptor: the connection that cannot be accepted is reported at once again.
+TEST_CASE("a server without a free descriptor waits, and then accepts again") {
+  EventLoop Loop;
+  HttpServer Server(Loop, {}, [](const HttpRequest &, const Responder &R) {
+    R.respond({200, "x", "text/plain", {{"Connection", "close"}}});
+  });
+  const uint16_t Port = valueOf(Server.listen({"127.0.0.1", 0}));
+  const int Fd = connectAndSend(Port, "GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+  const int EventsBefore = waitingEvents(Loop);
+  {
+    const NoFreeDescriptors Exhausted;
+    Loop.runOnce(false);
+    CHECK(waitingEvents(Loop) == EventsBefore - 1);
+  }
+  CHECK(readUntilClosed(Loop, Fd).starts_with("HTTP/1.1 200"));
+}
--- a/src/framework/net/tests/peermesh_test.cpp
+++ b/src/framework/net/tests/peermesh_test.cpp
@@ -4,6 +4,7 @@
 #include "framework/codec/serial.h"
 #include "framework/core/random.h"
 #include "framework/net/internal/handshake.h"
+#include "framework/net/tests/freedescriptors.h"
 
 #include <doctest/doctest.h>
 
@@ -237,3 +238,23 @@
     std::ranges::for_each(RawConnections, close);
   }
 }
+
+// Guards against a VM that uses its whole processor without a free descriptor:
+// the link that cannot be accepted is reported at once again.
+TEST_CASE("a mesh without a free descriptor waits, and then accepts again") {
+  EventLoop LoopA, LoopB;
+  MeshNode A(LoopA, {"a", 1});
+  MeshNode B(LoopB, {"b", 2});
+  const int EventsBefore = waitingEvents(LoopB);
+  A.Mesh.dial({"127.0.0.1", B.Port});
+  LoopA.runOnce(true);
+  {
+    const NoFreeDescriptors Exhausted;
+    LoopB.runOnce(false);
+    CHECK(waitingEvents(LoopB) == EventsBefore - 1);
+  }
+  while (A.PeersUp.empty() || B.PeersUp.empty()) {
+    LoopA.runOnce(false);
+    LoopB.runOnce(false);
+  }
+}
