Use the log before the tests without free descriptors

With the release build they passed.

Cause: the undefined-behaviour sanitizer opens a pipe when it first checks an object of a type, and reports the object as invalid if it cannot. A trace of the system calls shows accept4 and then two pipe2 fail with EMFILE right before the report. The first such object in the case is one of the log.

Change: the cases log a line before the descriptors are taken away. What they check is unchanged.

--- a/src/framework/net/tests/freedescriptors.h
+++ b/src/framework/net/tests/freedescriptors.h
@@ -1,6 +1,7 @@
 #ifndef SAPPHIREMOOR_FRAMEWORK_NET_TESTS_FREEDESCRIPTORS_H
 #define SAPPHIREMOOR_FRAMEWORK_NET_TESTS_FREEDESCRIPTORS_H
 
+#include "framework/eventlog/eventlog.h"
 #include "framework/net/eventloop.h"
 
 #include <doctest/doctest.h>
@@ -15,6 +16,10 @@
 class NoFreeDescriptors {
 public:
   NoFreeDescriptors() {
+    // The undefined-behaviour sanitizer opens a pipe when it first checks an
+    // object of a type, and reports the object as invalid if it cannot. The
+    // types of the log are checked before.
+    logEvent(events::AcceptFailed, {{"error", "none yet"}});
     getrlimit(RLIMIT_NOFILE, &Original);
     const int LowestFree = dup(STDIN_FILENO);
     close(LowestFree);
