Log why the configuration is not available

A read that a control VM answered with 503 left no line, and neither logs nor metrics told how rounds of the register end, how long a durable write takes, or whether a VM votes. So the hypotheses on a configuration that cannot be read could not be told apart.

configuration_unavailable (511) now stands for each read or change that is answered with 503; three metrics count the rounds by outcome, time the writes and show the vote.

--- a/src/cluster/internal/registerservice.cpp
+++ b/src/cluster/internal/registerservice.cpp
@@ -30,17 +30,55 @@
   return Voters;
 }
 
+constexpr std::string_view PutOperation = "put";
+constexpr std::string_view ReadOperation = "read";
+
+std::string_view outcomeName(RoundOutcome Outcome) {
+  switch (Outcome) {
+  case RoundOutcome::Decided:
+    return "decided";
+  case RoundOutcome::TimedOut:
+    return "timed_out";
+  case RoundOutcome::Overtaken:
+    return "overtaken";
+  }
+  return "decided";
+}
+
+Counter &roundCounter(Registry &Metrics, RoundOutcome Outcome) {
+  return Metrics.counter(
+      "sapphiremoor_register_rounds_total",
+      "Rounds of the configuration register that this VM proposed.",
+      {{"outcome", std::string(outcomeName(Outcome))}});
+}
+
+std::string milliseconds(Duration Time) {
+  return std::to_string(
+      std::chrono::duration_cast<std::chrono::milliseconds>(Time).count());
+}
+
 } // namespace
 
-RegisterService::RegisterService(EventLoop &Loop,
-                                 const ClusterSettings &Settings,
-                                 ClusterBus &Bus, Registry &Metrics)
-    : Loop(Loop), Settings(Settings), Bus(Bus),
-      VoterCount(Metrics.gauge("sapphiremoor_register_voters",
+RegisterService::RegisterMetrics::RegisterMetrics(Registry &Metrics)
+    : VoterCount(Metrics.gauge("sapphiremoor_register_voters",
                                "Voters of the configuration register.")),
       SilentVoterCount(
           Metrics.gauge("sapphiremoor_register_silent_voters",
                         "Voters that were not heard for a second or longer.")),
+      Voting(Metrics.gauge("sapphiremoor_register_voting",
+                           "1 if this VM votes, 0 if not.")),
+      DecidedRounds(roundCounter(Metrics, RoundOutcome::Decided)),
+      TimedOutRounds(roundCounter(Metrics, RoundOutcome::TimedOut)),
+      OvertakenRounds(roundCounter(Metrics, RoundOutcome::Overtaken)),
+      StoreTimes(
+          Metrics.histogram("sapphiremoor_register_store_seconds",
+                            "Time until a state of the register is durable.")) {
+}
+
+RegisterService::RegisterService(EventLoop &Loop,
+                                 const ClusterSettings &Settings,
+                                 ClusterBus &Bus, Registry &Metrics)
+    : Loop(Loop), Settings(Settings), Bus(Bus), ServiceMetrics(Metrics),
       TickTimer(Loop, [this] { tick(); }) {}
 
 Result<Done>
@@ -86,12 +124,14 @@
 
 void RegisterService::put(const VersionedDocument &Document,
                           OperationHandler Handler) {
-  Handlers.emplace(Node->put(Document, Loop.now()), std::move(Handler));
+  Requests.emplace(Node->put(Document, Loop.now()),
+                   PendingRequest{PutOperation, std::move(Handler)});
   run();
 }
 
 void RegisterService::read(OperationHandler Handler) {
-  Handlers.emplace(Node->read(Loop.now()), std::move(Handler));
+  Requests.emplace(Node->read(Loop.now()),
+                   PendingRequest{ReadOperation, std::move(Handler)});
   run();
 }
 
@@ -122,11 +162,12 @@
 void RegisterService::perform(const RegisterEffect &Effect) {
   if (const auto *Send = std::get_if<SendToVoter>(&Effect))
     sendToVoter(*Send);
-  else if (const auto *Store = std::get_if<StoreState>(&Effect)) {
-    if (!StorageLost)
-      Storage->submit({Store->Number, ReplaceState{encode(Store->State)}});
-  } else if (const auto *Ended = std::get_if<OperationEnded>(&Effect))
+  else if (const auto *Store = std::get_if<StoreState>(&Effect))
+    store(*Store);
+  else if (const auto *Ended = std::get_if<OperationEnded>(&Effect))
     handleOperationEnd(*Ended);
+  else if (const auto *Round = std::get_if<RoundEnded>(&Effect))
+    handleRoundEnd(*Round);
   else if (const auto *Chosen = std::get_if<ValueChosen>(&Effect)) {
     logEvent(events::ChangeInForce,
              {{"version", std::to_string(Chosen->Value.Document.Version)},
@@ -162,6 +203,13 @@
     Bus.send(Member->Id.Name, Message.Message);
 }
 
+void RegisterService::store(const StoreState &Effect) {
+  if (StorageLost)
+    return;
+  UnsyncedWrites.emplace(Effect.Number, Loop.now());
+  Storage->submit({Effect.Number, ReplaceState{encode(Effect.State)}});
+}
+
 void RegisterService::handleStorageReplies(
     const std::vector<StorageReply> &Replies) {
   for (const StorageReply &Reply : Replies) {
@@ -173,20 +221,51 @@
       StorageLost = true;
       return;
     }
+    if (const auto Write = UnsyncedWrites.extract(Reply.Number))
+      ServiceMetrics.StoreTimes.record(Loop.now() - Write.mapped());
     Node->confirmStored(Reply.Number);
   }
   run();
 }
 
+void RegisterService::handleRoundEnd(const RoundEnded &Effect) {
+  LastRound = Effect;
+  switch (Effect.Outcome) {
+  case RoundOutcome::Decided:
+    ServiceMetrics.DecidedRounds.add();
+    return;
+  case RoundOutcome::TimedOut:
+    ServiceMetrics.TimedOutRounds.add();
+    return;
+  case RoundOutcome::Overtaken:
+    ServiceMetrics.OvertakenRounds.add();
+    return;
+  }
+}
+
 void RegisterService::handleOperationEnd(const OperationEnded &Effect) {
   if (StartupRead == Effect.Operation)
     StartupRead.reset();
-  const auto It = Handlers.find(Effect.Operation);
-  if (It == Handlers.end())
+  const auto Request = Requests.extract(Effect.Operation);
+  if (!Request)
     return;
-  const OperationHandler Handler = std::move(It->second);
-  Handlers.erase(It);
-  Handler(Effect.Outcome, Effect.Newest);
+  if (Effect.Outcome == OperationOutcome::Unavailable)
+    logUnavailable(Request.mapped().Operation);
+  Request.mapped().Handler(Effect.Outcome, Effect.Newest);
+}
+
+void RegisterService::logUnavailable(std::string_view Operation) const {
+  const Duration OldestWrite =
+      UnsyncedWrites.empty() ? Duration{}
+                             : Loop.now() - UnsyncedWrites.begin()->second;
+  logEvent(
+      events::ConfigurationUnavailable,
+      {{"operation", std::string(Operation)},
+       {"voting", Node->isVoting() && !StorageLost ? "yes" : "no"},
+       {"last_round",
+        LastRound ? std::string(outcomeName(LastRound->Outcome)) : "none"},
+       {"last_round_ms", LastRound ? milliseconds(LastRound->Elapsed) : "0"},
+       {"unsynced_ms", milliseconds(OldestWrite)}});
 }
 
 void RegisterService::tick() {
@@ -264,18 +343,14 @@
     Addresses.insert(Voter.Address);
     if (ReportedVoters.contains(Voter.Address))
       continue;
-    logEvent(
-        events::VoterSilent,
-        {{"voter", Voter.Address},
-         {"heard", Voter.EverHeard ? "yes" : "no"},
-         {"silence_ms",
-          std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(
-                             Voter.Silence)
-                             .count())},
-         {"silent", std::to_string(Silent.size())},
-         {"voters", std::to_string(Voters.Voters.size())},
-         {"voters_epoch", std::to_string(Voters.Epoch)},
-         {"live_control_vms", std::to_string(Sightings.Live.size())}});
+    logEvent(events::VoterSilent,
+             {{"voter", Voter.Address},
+              {"heard", Voter.EverHeard ? "yes" : "no"},
+              {"silence_ms", milliseconds(Voter.Silence)},
+              {"silent", std::to_string(Silent.size())},
+              {"voters", std::to_string(Voters.Voters.size())},
+              {"voters_epoch", std::to_string(Voters.Epoch)},
+              {"live_control_vms", std::to_string(Sightings.Live.size())}});
   }
   for (const std::string &Address : ReportedVoters)
     if (!Addresses.contains(Address))
@@ -284,8 +359,9 @@
                 {"votes", isVoter(Voters, Address) ? "yes" : "no"},
                 {"voters_epoch", std::to_string(Voters.Epoch)}});
   ReportedVoters = std::move(Addresses);
-  VoterCount.set(static_cast<double>(Voters.Voters.size()));
-  SilentVoterCount.set(static_cast<double>(Silent.size()));
+  ServiceMetrics.VoterCount.set(static_cast<double>(Voters.Voters.size()));
+  ServiceMetrics.SilentVoterCount.set(static_cast<double>(Silent.size()));
+  ServiceMetrics.Voting.set(Node->isVoting() && !StorageLost ? 1 : 0);
 }
 
 } // namespace sapphiremoor
--- a/src/cluster/registerservice.h
+++ b/src/cluster/registerservice.h
@@ -13,6 +13,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 
 namespace sapphiremoor {
 
@@ -42,13 +43,35 @@
   const std::optional<ChosenValue> &chosen() const { return Node->chosen(); }
 
 private:
+  /// A request of an operator that is under way.
+  struct PendingRequest {
+    std::string_view Operation;
+    OperationHandler Handler;
+  };
+
+  /// Counts the ends of rounds and requests, and the time of durable writes.
+  struct RegisterMetrics {
+    explicit RegisterMetrics(Registry &Metrics);
+
+    Gauge &VoterCount;
+    Gauge &SilentVoterCount;
+    Gauge &Voting;
+    Counter &DecidedRounds;
+    Counter &TimedOutRounds;
+    Counter &OvertakenRounds;
+    LatencyHistogram &StoreTimes;
+  };
+
   void run();
   void perform(const RegisterEffect &Effect);
   /// Has the bus dial the voters.
   void announceVoters();
   void sendToVoter(const SendToVoter &Message);
+  void store(const StoreState &Effect);
   void handleStorageReplies(const std::vector<StorageReply> &Replies);
+  void handleRoundEnd(const RoundEnded &Effect);
   void handleOperationEnd(const OperationEnded &Effect);
+  void logUnavailable(std::string_view Operation) const;
   void tick();
   ControlVmSightings sightings() const;
   /// Proposes to replace voters that are gone.
@@ -63,7 +86,11 @@
   std::unique_ptr<RegisterNode> Node;
   std::unique_ptr<StorageTask> Storage;
   bool StorageLost = false;
-  std::map<uint64_t, OperationHandler> Handlers;
+  /// Requests by the number of their operation.
+  std::map<uint64_t, PendingRequest> Requests;
+  /// Start times of writes that are not durable yet, by number.
+  std::map<uint64_t, Instant> UnsyncedWrites;
+  std::optional<RoundEnded> LastRound;
   std::optional<uint64_t> StartupRead;
   Instant StartTime;
   /// Epoch of the newest voters that were in force here, and the time of the
@@ -75,8 +102,7 @@
   std::optional<VoterSet> LastProposal;
   /// Voters that were reported as silent and not as heard again.
   std::set<std::string> ReportedVoters;
-  Gauge &VoterCount;
-  Gauge &SilentVoterCount;
+  RegisterMetrics ServiceMetrics;
   Timer TickTimer;
 };
 
--- a/src/framework/eventlog/event.h
+++ b/src/framework/eventlog/event.h
@@ -59,6 +59,8 @@
 inline constexpr Event JobsRecovered{508, Level::Info, "jobs_recovered"};
 inline constexpr Event VoterSilent{509, Level::Warning, "voter_silent"};
 inline constexpr Event VoterHeard{510, Level::Info, "voter_heard"};
+inline constexpr Event ConfigurationUnavailable{511, Level::Warning,
+                                                "configuration_unavailable"};
 inline constexpr Event ReadinessChanged{600, Level::Info, "readiness_changed"};
 inline constexpr Event SettingsReloaded{601, Level::Info, "settings_reloaded"};
 } // namespace events
--- a/src/framework/eventlog/internal/eventlog.cpp
+++ b/src/framework/eventlog/internal/eventlog.cpp
@@ -56,8 +56,8 @@
     events::LogRecovered,     events::ChunkRejected,
     events::VotersChanging,   events::ChangeRefused,
     events::JobsRecovered,    events::VoterSilent,
-    events::VoterHeard,       events::ReadinessChanged,
-    events::SettingsReloaded};
+    events::VoterHeard,       events::ConfigurationUnavailable,
+    events::ReadinessChanged, events::SettingsReloaded};
 
 } // namespace
 
--- a/src/versionregister/internal/registernode.cpp
+++ b/src/versionregister/internal/registernode.cpp
@@ -92,7 +92,7 @@
 void RegisterNode::tick(Instant Now) {
   expireOperations(Now);
   if (CurrentRound && Now - CurrentRound->Started > Limits.RoundTimeout)
-    abandonRound(Now, Limits.MaxRetryPause);
+    abandonRound(Now, RoundOutcome::TimedOut);
   startRoundIfNeeded(Now);
 }
 
@@ -135,7 +135,7 @@
   if (!CurrentRound || Reply.RoundBallot != CurrentRound->RoundBallot)
     return;
   if (Reply.Promised > CurrentRound->RoundBallot) {
-    abandonRound(Now, Limits.MaxRetryPause);
+    abandonRound(Now, RoundOutcome::Overtaken);
     return;
   }
   if (!detail::recordPromise(*CurrentRound, Sender, Reply))
@@ -168,7 +168,7 @@
       CurrentRound->Phase != RoundPhase::Accept)
     return;
   if (Reply.Promised != CurrentRound->RoundBallot) {
-    abandonRound(Now, Limits.MaxRetryPause);
+    abandonRound(Now, RoundOutcome::Overtaken);
     return;
   }
   CurrentRound->Accepted.insert(Sender);
@@ -271,6 +271,7 @@
   State.ChosenVoters = Voters;
   Voting = true;
   store();
+  reportRound(*CurrentRound, RoundOutcome::Decided, Now);
   CurrentRound.reset();
   startRoundIfNeeded(Now);
 }
@@ -278,6 +279,7 @@
 void RegisterNode::finishRound(Instant Now) {
   const Round Finished = std::move(*CurrentRound);
   CurrentRound.reset();
+  reportRound(Finished, RoundOutcome::Decided, Now);
   std::erase_if(PendingOperations, [&Finished](const Operation &Op) {
     return std::ranges::any_of(Finished.Operations,
                                [&Op](const Operation &FinishedOp) {
@@ -294,12 +296,19 @@
   startRoundIfNeeded(Now);
 }
 
-void RegisterNode::abandonRound(Instant Now, Duration MaxPause) {
+void RegisterNode::abandonRound(Instant Now, RoundOutcome Outcome) {
+  reportRound(*CurrentRound, Outcome, Now);
   CurrentRound.reset();
-  std::uniform_int_distribution<int64_t> Distribution(0, MaxPause.count());
+  std::uniform_int_distribution<int64_t> Distribution(
+      0, Limits.MaxRetryPause.count());
   NextRoundTime = Now + Duration(Distribution(Rng));
 }
 
+void RegisterNode::reportRound(const Round &EndedRound, RoundOutcome Outcome,
+                               Instant Now) {
+  Effects.emplace_back(RoundEnded{Outcome, Now - EndedRound.Started});
+}
+
 void RegisterNode::learn(const ChosenValue &Chosen) {
   HighestRound = std::max(HighestRound, Chosen.ChosenBallot.Round);
   if (NewestChosen && NewestChosen->ChosenBallot >= Chosen.ChosenBallot)
--- a/src/versionregister/registernode.h
+++ b/src/versionregister/registernode.h
@@ -105,7 +105,11 @@
   void startAcceptPhase();
   void adoptRecoveredState(Instant Now);
   void finishRound(Instant Now);
-  void abandonRound(Instant Now, Duration MaxPause);
+  /// Ends the current round without a decision. The next one starts after a
+  /// random pause.
+  void abandonRound(Instant Now, RoundOutcome Outcome);
+  void reportRound(const detail::Round &EndedRound, RoundOutcome Outcome,
+                   Instant Now);
   void learn(const ChosenValue &Chosen);
   void endOperation(const detail::Operation &EndedOperation,
                     OperationOutcome Outcome);
--- a/src/versionregister/types/registereffect.h
+++ b/src/versionregister/types/registereffect.h
@@ -1,6 +1,7 @@
 #ifndef SAPPHIREMOOR_VERSIONREGISTER_TYPES_REGISTEREFFECT_H
 #define SAPPHIREMOOR_VERSIONREGISTER_TYPES_REGISTEREFFECT_H
 
+#include "framework/core/time.h"
 #include "versionregister/types/acceptorstate.h"
 #include "versionregister/types/registermessage.h"
 
@@ -45,8 +46,22 @@
   RegisterValue Value;
 };
 
-using RegisterEffect =
-    std::variant<SendToVoter, StoreState, OperationEnded, ValueChosen>;
+enum class RoundOutcome {
+  Decided,
+  /// No majority answered in time.
+  TimedOut,
+  /// A voter has promised a higher ballot to another proposer.
+  Overtaken,
+};
+
+/// Reports the end of a round of this VM.
+struct RoundEnded {
+  RoundOutcome Outcome = RoundOutcome::Decided;
+  Duration Elapsed{};
+};
+
+using RegisterEffect = std::variant<SendToVoter, StoreState, OperationEnded,
+                                    ValueChosen, RoundEnded>;
 
 } // namespace sapphiremoor
 
