Read the configuration at the end of each soak

Now each control VM has to return it within 3 s. A closing fault was missing too: right after a change was acknowledged, all control VMs are killed, in one of three seeds with the disk of one lost (in another one, none). The random order of the faults before it is unchanged.

--- a/tests/soak/faults.cpp
+++ b/tests/soak/faults.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <iostream>
+#include <utility>
 
 namespace sapphiremoor::soak {
 
@@ -146,4 +147,18 @@
     Backend->setFaults({});
 }
 
+void injectClosingFault(Soak &SoakRun, uint64_t Seed) {
+  enum class ClosingFault { None, Kill, KillAndWipeOne };
+  constexpr uint64_t FaultKinds = 3;
+  const auto Fault = static_cast<ClosingFault>(Seed % FaultKinds);
+  if (Fault == ClosingFault::None)
+    return;
+  SoakRun.onNextAcknowledgedChange([&SoakRun, Fault] {
+    bool WipeNext = Fault == ClosingFault::KillAndWipeOne;
+    for (Node &Vm : SoakRun.nodes())
+      if (Vm.IsControl)
+        killAndRestart(SoakRun, Vm, std::exchange(WipeNext, false));
+  });
+}
+
 } // namespace sapphiremoor::soak
--- a/tests/soak/faults.h
+++ b/tests/soak/faults.h
@@ -13,6 +13,11 @@
 /// that have ended are started again.
 void endAllFaults(Soak &SoakRun);
 
+/// Kills control VMs right after the configuration was acknowledged, and starts
+/// them again. The seed decides between none, all, and all with the disk of one
+/// lost. All VMs must be undisturbed.
+void injectClosingFault(Soak &SoakRun, uint64_t Seed);
+
 } // namespace sapphiremoor::soak
 
 #endif // SAPPHIREMOOR_TESTS_SOAK_FAULTS_H
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -17,7 +17,12 @@
 
 namespace {
 
-constexpr Duration PostFaultTime = std::chrono::seconds(9);
+/// Time from the last fault until every fault has ended.
+constexpr Duration FaultEndTime = std::chrono::milliseconds(4500);
+/// Time after which all VMs count as undisturbed again.
+constexpr Duration CalmTime = std::chrono::seconds(5);
+/// Time from the closing fault until the deployment has to serve again.
+constexpr Duration RecoveryTime = std::chrono::seconds(12);
 
 int report(Soak &SoakRun, uint64_t DoneDuringFaults,
            const SoakOptions &Options) {
@@ -86,12 +91,15 @@
     const Duration FaultTime = std::chrono::seconds(Options.Seconds);
     SoakRun.scheduleAfter(
         WarmUpTime, [&] { scheduleFaults(SoakRun, Loop.now() + FaultTime); });
-    SoakRun.scheduleAfter(WarmUpTime + FaultTime + PostFaultTime / 2, [&] {
-      endAllFaults(SoakRun);
+    const Duration ClosingTime =
+        WarmUpTime + FaultTime + FaultEndTime + CalmTime;
+    SoakRun.scheduleAfter(WarmUpTime + FaultTime + FaultEndTime,
+                          [&] { endAllFaults(SoakRun); });
+    SoakRun.scheduleAfter(ClosingTime, [&] {
+      injectClosingFault(SoakRun, Options.Seed);
       DoneDuringFaults = SoakRun.checker().doneCount();
     });
-    SoakRun.scheduleAfter(WarmUpTime + FaultTime + PostFaultTime +
-                              PostFaultTime / 2,
+    SoakRun.scheduleAfter(ClosingTime + RecoveryTime,
                           [&] { SoakRun.finish([&Loop] { Loop.stop(); }); });
     Loop.run();
     ExitCode = report(SoakRun, DoneDuringFaults, Options);
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <filesystem>
 #include <fstream>
+#include <utility>
 
 namespace sapphiremoor::soak {
 
@@ -34,6 +35,9 @@
 constexpr Duration ResponseDrainTime = std::chrono::seconds(4);
 constexpr Duration EndCheckPeriod = std::chrono::milliseconds(250);
 constexpr Duration RecoveryTime = std::chrono::seconds(5);
+/// For this time the operator reads the configuration at the end.
+constexpr Duration FinalReadTime = std::chrono::seconds(3);
+constexpr Duration FinalReadPeriod = std::chrono::milliseconds(100);
 
 sockaddr_in socketAddress(const Endpoint &Ep) {
   sockaddr_in Address{};
@@ -262,19 +266,21 @@
   Request.Path = "/api/config/put";
   Request.Body = Body;
   Request.Timeout = RequestTimeout;
-  Client.send(Vm.HttpEndpoint, Request,
-              [=, this](const HttpCallResult &Response) {
-                if (Response.Status == HttpCallStatus::Answered &&
-                    Response.StatusCode == 200)
-                  Checker.recordConfigAcknowledged(Version, Body);
-                else if (Response.Status == HttpCallStatus::Answered &&
-                         Response.StatusCode < 500)
-                  Checker.addViolation("a valid configuration was refused");
-                else if (Attempt < MaxAttempts && TrafficEnabled)
-                  scheduleAfter(std::chrono::milliseconds(200), [=, this] {
-                    putConfig(pickRandomNode(true), Version, Body, Attempt + 1);
-                  });
-              });
+  Client.send(
+      Vm.HttpEndpoint, Request, [=, this](const HttpCallResult &Response) {
+        if (Response.Status == HttpCallStatus::Answered &&
+            Response.StatusCode == 200) {
+          Checker.recordConfigAcknowledged(Version, Body);
+          if (const auto Handler = std::exchange(OnAcknowledgedChange, {}))
+            Handler();
+        } else if (Response.Status == HttpCallStatus::Answered &&
+                   Response.StatusCode < 500)
+          Checker.addViolation("a valid configuration was refused");
+        else if (Attempt < MaxAttempts && TrafficEnabled)
+          scheduleAfter(std::chrono::milliseconds(200), [=, this] {
+            putConfig(pickRandomNode(true), Version, Body, Attempt + 1);
+          });
+      });
 }
 
 void Soak::readConfig() {
@@ -291,6 +297,37 @@
               });
 }
 
+void Soak::readConfigUntil(Instant EndTime, const Node &Vm) {
+  HttpCallRequest Request;
+  Request.Method = HttpMethod::Get;
+  Request.Path = "/api/config/get";
+  Request.Timeout = RequestTimeout;
+  Client.send(
+      Vm.HttpEndpoint, Request,
+      [this, EndTime, &Vm](const HttpCallResult &Response) {
+        const bool Answered = Response.Status == HttpCallStatus::Answered;
+        if (Answered && Response.StatusCode == 200)
+          Checker.recordConfigRead(Checker.newestAcknowledgedVersion(),
+                                   Response.Body);
+        else if (Loop.now() < EndTime)
+          scheduleAfter(FinalReadPeriod,
+                        [this, EndTime, &Vm] { readConfigUntil(EndTime, Vm); });
+        else
+          Checker.addViolation(
+              "the configuration cannot be read at " + Vm.Name + ": status " +
+              std::to_string(Answered ? Response.StatusCode : 0));
+      });
+}
+
+void Soak::checkConfigReadable(std::function<void()> OnFinished) {
+  for (const Node &Vm : Nodes)
+    if (Vm.IsControl)
+      readConfigUntil(Loop.now() + FinalReadTime, Vm);
+  // The last read may begin just before the end.
+  scheduleAfter(FinalReadTime + FinalReadPeriod + RequestTimeout,
+                std::move(OnFinished));
+}
+
 void Soak::finish(std::function<void()> OnFinished) {
   JobTimer.cancel();
   ConfigTimer.cancel();
@@ -311,7 +348,7 @@
     return;
   }
   Checker.checkAcceptedJobsEnded();
-  OnFinished();
+  checkConfigReadable(std::move(OnFinished));
 }
 
 } // namespace sapphiremoor::soak
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace sapphiremoor::soak {
@@ -55,7 +56,8 @@
   void start();
   /// Stops the traffic, waits for outstanding responses and, up to a limit, for
   /// the ends of accepted jobs. Then checks that all accepted jobs have ended
-  /// and calls \p OnFinished.
+  /// and that each control VM returns the configuration, and calls
+  /// \p OnFinished.
   void finish(std::function<void()> OnFinished);
 
   /// Starts the daemon of \p Vm. \p FirstStart is set for the first start of
@@ -70,6 +72,10 @@
   void markDisturbed(Node &Vm, Duration FaultDuration);
   /// Runs \p Callback after \p Delay.
   void scheduleAfter(Duration Delay, std::function<void()> Callback);
+  /// Calls \p Callback once, as soon as a configuration is acknowledged.
+  void onNextAcknowledgedChange(std::function<void()> Callback) {
+    OnAcknowledgedChange = std::move(Callback);
+  }
   Random &rng() { return Rng; }
   EventLoop &loop() { return Loop; }
 
@@ -86,6 +92,12 @@
   void putConfig(Node &Vm, uint64_t Version, const std::string &Body,
                  int Attempt);
   void readConfig();
+  /// Reads the configuration at \p Vm until it is returned or \p EndTime has
+  /// passed.
+  void readConfigUntil(Instant EndTime, const Node &Vm);
+  /// Reads the configuration at each control VM, as the operator does when all
+  /// faults have ended.
+  void checkConfigReadable(std::function<void()> OnFinished);
   Node &pickRandomNode(bool IsControl);
   /// Returns the first three octets of the addresses of control or entry VMs.
   std::string addressPrefix(bool IsControl) const;
@@ -102,6 +114,7 @@
   uint64_t NextJobNumber = 1;
   uint64_t LatestVersion = 1;
   bool TrafficEnabled = false;
+  std::function<void()> OnAcknowledgedChange;
   std::list<std::unique_ptr<Timer>> Timers;
   Timer JobTimer;
   Timer ConfigTimer;
