Show that slow disks stop the register

With durable writes of 200 ms no change was ever acknowledged, and after a restart of all control VMs the configuration could not be read: a round is given up after 250 ms, although it needs two to four writes, and the next one begins anew.

The simulated network gets durable writes of a fixed duration, one after the other, as on a real disk; by default they end at random as before.

--- a/src/versionregister/tests/registernetwork.cpp
+++ b/src/versionregister/tests/registernetwork.cpp
@@ -5,10 +5,6 @@
 
 namespace sapphiremoor {
 
-namespace {
-constexpr Duration StepDuration = std::chrono::milliseconds(2);
-} // namespace
-
 RegisterNetwork::RegisterNetwork(std::size_t Count, uint64_t Seed) : Rng(Seed) {
   for (std::size_t Number = 0; Number < Count; ++Number)
     Names.push_back("v" + std::to_string(Number));
@@ -36,8 +32,11 @@
 
 void RegisterNetwork::step() {
   Now += StepDuration;
+  const bool WritesAreRandom = WriteDuration == Duration{};
+  if (!WritesAreRandom)
+    advanceWrites();
   for (std::size_t Count = 0; Count < EventsPerStep; ++Count)
-    if (Rng() % 3 == 0)
+    if (WritesAreRandom && Rng() % 3 == 0)
       sync();
     else
       deliver();
@@ -73,9 +72,27 @@
   Member &Process = Nodes.at(Name);
   if (isDown(Name) || Process.Unsynced.empty())
     return;
-  const std::vector<StoreState> Written = std::exchange(Process.Unsynced, {});
-  Process.Disk = Written.back().State;
-  Process.Node->confirmStored(Written.back().Number);
+  confirmWrite(Name, std::exchange(Process.Unsynced, {}).back());
+}
+
+void RegisterNetwork::advanceWrites() {
+  for (auto &[Name, Process] : Nodes) {
+    if (Process.Node == nullptr || Now < Process.WriteEnd)
+      continue;
+    if (!Process.Writing.empty())
+      confirmWrite(Name, std::exchange(Process.Writing, {}).back());
+    if (Process.Unsynced.empty())
+      continue;
+    Process.Writing = std::exchange(Process.Unsynced, {});
+    Process.WriteEnd = Now + WriteDuration;
+  }
+}
+
+void RegisterNetwork::confirmWrite(const std::string &Name,
+                                   const StoreState &Written) {
+  Member &Process = Nodes.at(Name);
+  Process.Disk = Written.State;
+  Process.Node->confirmStored(Written.Number);
   processEffects(Name);
 }
 
@@ -83,6 +100,7 @@
   Member &Process = Nodes.at(Name);
   Process.Node.reset();
   Process.Unsynced.clear();
+  Process.Writing.clear();
   if (WipeDisk)
     Process.Disk.reset();
   std::erase_if(ReadMinVersions, [&Name](const auto &Entry) {
--- a/src/versionregister/tests/registernetwork.h
+++ b/src/versionregister/tests/registernetwork.h
@@ -35,9 +35,16 @@
   /// Cuts or restores all links of \p Name.
   void setCut(const std::string &Name, bool IsCut);
 
+  /// Simulated time of one step.
+  static constexpr Duration StepDuration = std::chrono::milliseconds(2);
+
   /// Share of messages that are lost.
   double LossShare = 0;
-  /// Messages that are delivered and disks that are synced in a step.
+  /// Time of a durable write. If it is zero, writes end after a random number
+  /// of steps.
+  Duration WriteDuration{};
+  /// Messages that are delivered and, with random writes, disks that are synced
+  /// in a step.
   std::size_t EventsPerStep = 1;
   /// True if nodes that know a chosen value keep asking for a newer one.
   bool RequestsNewerValues = false;
@@ -55,6 +62,9 @@
     std::unique_ptr<RegisterNode> Node;
     std::optional<AcceptorState> Disk;
     std::vector<StoreState> Unsynced;
+    /// States of the write that is under way and ends at WriteEnd.
+    std::vector<StoreState> Writing;
+    Instant WriteEnd;
     uint64_t HighestVersion = 0;
     bool Cut = false;
     uint64_t Incarnation = 0;
@@ -71,6 +81,9 @@
   void step();
   void deliver();
   void sync();
+  /// Ends and begins the writes that take WriteDuration.
+  void advanceWrites();
+  void confirmWrite(const std::string &Name, const StoreState &Written);
 
   Random Rng;
   std::map<std::string, Member> Nodes;
