Let a round of the register last as long as its disks need

Every read of the operator was answered with 503 (CONFIG).

Cause: a round that had no majority after 250 ms was given up, and the next one began anew with a higher ballot. A round needs two durable writes of a majority, one after the other, each behind a write that is under way, and a write is two synced ones. So with synced writes over 60 ms no round ever ended. A read needs a round whenever a voter has accepted a value that is not known to be chosen, as after a restart.

Trials with real processes and delayed fsync, log lines configuration_unavailable: last_round timed_out without a silent voter.

Ruled out as cause there: voters that are silent or do not vote (no such line), and a longer time limit alone, as some disk exceeds any.

Change: a request without a reply is sent again after 250 ms within its round; voters answer a repetition without another write. A round is given up after 1 s, and the time doubles with each such round in a row. The pause after a round that lost against another proposer doubles too. Operations join a round that has not proposed yet, so that a change does not wait behind an exchange of voters that gets no promises; that case is red with the longer limit alone.

--- a/src/versionregister/internal/proposer.cpp
+++ b/src/versionregister/internal/proposer.cpp
@@ -3,6 +3,7 @@
 #include "versionregister/voterset.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace sapphiremoor::detail {
 
@@ -40,6 +41,16 @@
   return Voters;
 }
 
+std::vector<std::string> unansweredVoters(const Round &CurrentRound) {
+  const std::set<std::string> &Answered =
+      CurrentRound.Phase == RoundPhase::Prepare ? CurrentRound.Prepared
+                                                : CurrentRound.Accepted;
+  std::vector<std::string> Unanswered;
+  std::ranges::set_difference(CurrentRound.Contacted, Answered,
+                              std::back_inserter(Unanswered));
+  return Unanswered;
+}
+
 bool recordPromise(Round &CurrentRound, const std::string &Sender,
                    const PrepareReply &Reply) {
   if (CurrentRound.Phase != RoundPhase::Prepare ||
--- a/src/versionregister/internal/proposer.h
+++ b/src/versionregister/internal/proposer.h
@@ -43,6 +43,8 @@
   /// Operations that this round decides.
   std::vector<Operation> Operations;
   Instant Started;
+  /// Time at which the requests without a reply were last sent.
+  Instant LastSent;
   /// True if this voter has lost its disk. It then runs the first phase without
   /// its own vote and adopts the result instead of proposing it.
   bool Recovering = false;
@@ -61,6 +63,9 @@
 /// install, that were not contacted yet, and marks them as contacted.
 std::vector<std::string> takeUncontacted(Round &CurrentRound);
 
+/// Returns the contacted voters that have not replied in the current phase.
+std::vector<std::string> unansweredVoters(const Round &CurrentRound);
+
 /// Records a promise. Returns false if the reply is late or a refusal.
 bool recordPromise(Round &CurrentRound, const std::string &Sender,
                    const PrepareReply &Reply);
--- a/src/versionregister/internal/registernode.cpp
+++ b/src/versionregister/internal/registernode.cpp
@@ -14,7 +14,9 @@
 
 RegisterNode::RegisterNode(const RegisterStart &Start,
                            const RegisterLimits &Limits, uint64_t Seed)
-    : Self(Start.Self), Limits(Limits), Rng(Seed) {
+    : Self(Start.Self), Limits(Limits), Rng(Seed),
+      RoundTimeout(Limits.FirstRoundTimeout, Limits.LongestRoundTimeout),
+      RetryPause(Limits.FirstRetryPause, Limits.LongestRetryPause) {
   if (Start.StoredState) {
     State = *Start.StoredState;
     Voting = true;
@@ -91,8 +93,10 @@
 
 void RegisterNode::tick(Instant Now) {
   expireOperations(Now);
-  if (CurrentRound && Now - CurrentRound->Started > Limits.RoundTimeout)
+  if (CurrentRound && Now - CurrentRound->Started > RoundTimeout.current())
     abandonRound(Now, RoundOutcome::TimedOut);
+  if (CurrentRound && Now - CurrentRound->LastSent > Limits.ResendPeriod)
+    resendRequests(Now);
   startRoundIfNeeded(Now);
 }
 
@@ -138,15 +142,8 @@
     abandonRound(Now, RoundOutcome::Overtaken);
     return;
   }
-  if (!detail::recordPromise(*CurrentRound, Sender, Reply))
-    return;
-  sendPrepares();
-  if (!detail::hasMajorityInAllSets(*CurrentRound, CurrentRound->Prepared))
-    return;
-  if (CurrentRound->Recovering)
-    adoptRecoveredState(Now);
-  else if (!detail::waitsForNewVoters(*CurrentRound))
-    startAcceptPhase();
+  if (detail::recordPromise(*CurrentRound, Sender, Reply))
+    continueFirstPhase(Now);
 }
 
 void RegisterNode::handle(const std::string &Sender,
@@ -222,6 +219,8 @@
 }
 
 void RegisterNode::startRoundIfNeeded(Instant Now) {
+  if (CurrentRound && CurrentRound->Phase == RoundPhase::Prepare)
+    continueFirstPhase(Now);
   const bool NeedsRecovery = !Voting && isVoter(Voters, Self);
   const bool HasWork = !PendingOperations.empty() || NeedsRecovery;
   if (!CurrentRound && HasWork && Now >= NextRoundTime &&
@@ -233,12 +232,8 @@
   CurrentRound.emplace();
   CurrentRound->RoundBallot = {++HighestRound, Self};
   CurrentRound->Started = Now;
+  CurrentRound->LastSent = Now;
   CurrentRound->Recovering = !Voting && isVoter(Voters, Self);
-  if (CurrentRound->Recovering)
-    CurrentRound->Contacted.insert(Self);
-  else
-    CurrentRound->Operations.assign(PendingOperations.begin(),
-                                    PendingOperations.end());
   detail::addVoterSet(*CurrentRound, Voters);
   if (NewestChosen) {
     CurrentRound->KnownBallot = NewestChosen->ChosenBallot;
@@ -247,13 +242,42 @@
   } else {
     CurrentRound->Value.Voters = Voters;
   }
+  continueFirstPhase(Now);
+}
+
+void RegisterNode::continueFirstPhase(Instant Now) {
+  if (!CurrentRound->Recovering)
+    CurrentRound->Operations.assign(PendingOperations.begin(),
+                                    PendingOperations.end());
   sendPrepares();
+  if (!detail::hasMajorityInAllSets(*CurrentRound, CurrentRound->Prepared))
+    return;
+  if (CurrentRound->Recovering)
+    adoptRecoveredState(Now);
+  else if (!detail::waitsForNewVoters(*CurrentRound))
+    startAcceptPhase();
 }
 
 void RegisterNode::sendPrepares() {
   for (const std::string &Voter : detail::takeUncontacted(*CurrentRound))
+    sendRequest(Voter);
+}
+
+void RegisterNode::sendRequest(const std::string &Voter) {
+  // A VM that recovers must not count its own promise.
+  if (CurrentRound->Recovering && Voter == Self)
+    return;
+  if (CurrentRound->Phase == RoundPhase::Prepare)
     send(Voter,
          PrepareRequest{CurrentRound->RoundBallot, CurrentRound->KnownBallot});
+  else
+    send(Voter, AcceptRequest{CurrentRound->RoundBallot, CurrentRound->Value});
+}
+
+void RegisterNode::resendRequests(Instant Now) {
+  CurrentRound->LastSent = Now;
+  for (const std::string &Voter : detail::unansweredVoters(*CurrentRound))
+    sendRequest(Voter);
 }
 
 void RegisterNode::startAcceptPhase() {
@@ -261,7 +285,7 @@
   CurrentRound->Phase = RoundPhase::Accept;
   detail::takeUncontacted(*CurrentRound);
   for (const std::string &Voter : CurrentRound->Contacted)
-    send(Voter, AcceptRequest{CurrentRound->RoundBallot, CurrentRound->Value});
+    sendRequest(Voter);
 }
 
 void RegisterNode::adoptRecoveredState(Instant Now) {
@@ -300,13 +324,23 @@
   reportRound(*CurrentRound, Outcome, Now);
   CurrentRound.reset();
   std::uniform_int_distribution<int64_t> Distribution(
-      0, Limits.MaxRetryPause.count());
+      0, RetryPause.current().count());
   NextRoundTime = Now + Duration(Distribution(Rng));
+  if (Outcome == RoundOutcome::TimedOut)
+    RoundTimeout.grow();
+  else
+    RetryPause.grow();
 }
 
 void RegisterNode::reportRound(const Round &EndedRound, RoundOutcome Outcome,
                                Instant Now) {
-  Effects.emplace_back(RoundEnded{Outcome, Now - EndedRound.Started});
+  const Duration Elapsed = Now - EndedRound.Started;
+  if (Outcome == RoundOutcome::Decided)
+    RetryPause.reset();
+  // Rounds on slow disks keep the longer timeout.
+  if (Outcome == RoundOutcome::Decided && Elapsed < Limits.FirstRoundTimeout)
+    RoundTimeout.reset();
+  Effects.emplace_back(RoundEnded{Outcome, Elapsed});
 }
 
 void RegisterNode::learn(const ChosenValue &Chosen) {
--- a/src/versionregister/registernode.h
+++ b/src/versionregister/registernode.h
@@ -3,6 +3,7 @@
 
 #include "framework/core/random.h"
 #include "framework/core/time.h"
+#include "versionregister/internal/backoff.h"
 #include "versionregister/internal/proposer.h"
 #include "versionregister/types/acceptorstate.h"
 #include "versionregister/types/registereffect.h"
@@ -18,12 +19,17 @@
 
 /// Time limits of rounds and operations.
 struct RegisterLimits {
-  /// A round without a majority after this time is abandoned and retried.
-  /// Exceeds two synced writes on a slow disk.
-  Duration RoundTimeout = std::chrono::milliseconds(250);
-  /// Upper bound of the random pause after a round that timed out or lost
-  /// against another proposer.
-  Duration MaxRetryPause = std::chrono::milliseconds(60);
+  /// A request without a reply after this time is sent again.
+  Duration ResendPeriod = std::chrono::milliseconds(250);
+  /// A round without a majority after this time is abandoned and retried. The
+  /// time doubles with each such round in a row, so that it exceeds the writes
+  /// of a round on any disk.
+  Duration FirstRoundTimeout = std::chrono::seconds(1);
+  Duration LongestRoundTimeout = std::chrono::seconds(8);
+  /// Upper bound of the random pause after a round that was abandoned. It
+  /// doubles with each round in a row that lost against another proposer.
+  Duration FirstRetryPause = std::chrono::milliseconds(60);
+  Duration LongestRetryPause = std::chrono::milliseconds(480);
   /// An operation without a result after this time ends as Unavailable.
   Duration OperationTimeout = std::chrono::milliseconds(900);
 };
@@ -101,7 +107,13 @@
   /// Sends \p Message once all states stored so far are durable.
   void sendDurable(const std::string &Receiver, RegisterMessage Message);
   void startRound(Instant Now);
+  /// Ends the first phase of the current round if a majority has promised.
+  /// Operations that arrive until then are decided by the round too.
+  void continueFirstPhase(Instant Now);
   void sendPrepares();
+  void sendRequest(const std::string &Voter);
+  /// Sends the requests of the current round again that have no reply.
+  void resendRequests(Instant Now);
   void startAcceptPhase();
   void adoptRecoveredState(Instant Now);
   void finishRound(Instant Now);
@@ -129,6 +141,8 @@
   std::deque<detail::Operation> PendingOperations;
   std::map<uint64_t, PendingRead> PendingReads;
   std::optional<detail::Round> CurrentRound;
+  detail::Backoff RoundTimeout;
+  detail::Backoff RetryPause;
   Instant NextRoundTime;
 
   uint64_t LastStore = 0;
--- a/src/versionregister/tests/slowdisk_test.cpp
+++ b/src/versionregister/tests/slowdisk_test.cpp
@@ -116,3 +116,59 @@
     CHECK(readAllWithin(Network, ReadLimit) >= 7);
   });
 }
+
+// Guards against a fixed time limit of a round, which some disk exceeds: then
+// no change is acknowledged, however often it is sent.
+TEST_CASE("changes are acknowledged at last on disks of any speed") {
+  constexpr Duration WriteDuration = std::chrono::milliseconds(1500);
+  constexpr Duration Patience = std::chrono::seconds(60);
+  for (uint64_t Seed = 1; Seed <= 10; ++Seed) {
+    CAPTURE(Seed);
+    RegisterNetwork Network(3, Seed);
+    Network.EventsPerStep = EventsPerStep;
+    Network.WriteDuration = WriteDuration;
+    CHECK(putWithin(Network, "v0", {7, "seven"}, Patience));
+    CHECK(putWithin(Network, "v1", {8, "eight"}, Patience));
+    CHECK(readAllWithin(Network, Patience) == 8);
+    CHECK(Network.Violations == std::vector<std::string>{});
+  }
+}
+
+// Guards against a request or reply that is lost and costs the whole round: the
+// next one may lose another.
+TEST_CASE("a change is acknowledged in time although messages are lost") {
+  constexpr double LossShare = 0.3;
+  for (uint64_t Seed = 1; Seed <= 20; ++Seed) {
+    CAPTURE(Seed);
+    RegisterNetwork Network(3, Seed);
+    Network.EventsPerStep = EventsPerStep;
+    Network.WriteDuration = std::chrono::milliseconds(130);
+    Network.LossShare = LossShare;
+    CHECK(putWithin(Network, "v0", {7, "seven"}, AckLimit));
+    CHECK(Network.Violations == std::vector<std::string>{});
+  }
+}
+
+// Guards against a change that waits for the next round, or for its timeout,
+// while the round under way has not proposed a value yet.
+TEST_CASE("a change joins a round that waits for new voters") {
+  RegisterNetwork Network(3, 1);
+  Network.EventsPerStep = EventsPerStep;
+  Network.run(300);
+  Network.put("v0", {7, "seven"});
+  Network.run(300);
+  // Two of the three new voters do not exist, so their set cannot be installed.
+  Network.add("w0");
+  Network.add("w1");
+  Network.crash("w0", true);
+  Network.crash("w1", true);
+  const VoterSet Voters = Network.node("v0").voters();
+  Network.node("v0").changeVoters({Voters.Epoch + 1, {"v0", "w0", "w1"}},
+                                  Network.Now);
+  Network.run(StepsPerCheck);
+  const uint64_t Put = Network.put("v0", {8, "eight"});
+  const auto End =
+      awaitEnd(Network, "v0", Put, Network.Now + RegisterLimits{}.ResendPeriod);
+  CHECK(isDecided(End));
+  CHECK(Network.node("v0").voters() == Voters);
+}
