Answer reads without a round once another VM has decided

What callers saw: reads of the configuration answered with 503 while it was changed, or for over 3 s after a restart, on slow disks.

Cause: a read that had met an undecided value waited for a round of its VM, although another VM had decided meanwhile. Such rounds wrote the same value again under a new ballot, which sent the next reads into rounds, and overtook each other. The pause after a lost round was shorter than the round of the winner on a slow disk. A reply to a read waited for writes that do not concern it.

Evidence: versionregister_tests "a document is read in time after a restart of all on slow disks", seeds 43, 90, 103, 122 and 128 with writes of 300 ms, red before.

Change: when a newer value is chosen, the pending reads ask the voters again, without a round; a round that has nothing else to do ends. The pause after a lost round is up to the time that it took. A voter answers a read as soon as the accepted value is durable.

--- a/src/versionregister/internal/registernode.cpp
+++ b/src/versionregister/internal/registernode.cpp
@@ -15,8 +15,7 @@
 RegisterNode::RegisterNode(const RegisterStart &Start,
                            const RegisterLimits &Limits, uint64_t Seed)
     : Self(Start.Self), Limits(Limits), Rng(Seed),
-      RoundTimeout(Limits.FirstRoundTimeout, Limits.LongestRoundTimeout),
-      RetryPause(Limits.FirstRetryPause, Limits.LongestRetryPause) {
+      RoundTimeout(Limits.FirstRoundTimeout, Limits.LongestRoundTimeout) {
   if (Start.StoredState) {
     State = *Start.StoredState;
     Voting = true;
@@ -61,12 +60,31 @@
   const uint64_t Number = NextOperation++;
   PendingRead Read{{Number, {}, {}, Now + Limits.OperationTimeout}, {}};
   PendingReads.emplace(Number, std::move(Read));
-  const std::vector<std::string> Receivers = Voters.Voters;
-  for (const std::string &Voter : Receivers)
-    send(Voter, ReadRequest{Number});
+  sendReadRequests(Number);
   return Number;
 }
 
+void RegisterNode::sendReadRequests(uint64_t Number) {
+  for (const std::string &Voter : Voters.Voters)
+    send(Voter, ReadRequest{Number});
+}
+
+void RegisterNode::restartReads(Instant Now) {
+  if (CurrentRound && CurrentRound->Phase == RoundPhase::Accept)
+    return;
+  const auto IsRead = [](const Operation &Op) { return !Op.Put && !Op.Voters; };
+  for (const Operation &Op : PendingOperations)
+    if (IsRead(Op)) {
+      PendingReads.emplace(Op.Number, PendingRead{Op, {}});
+      sendReadRequests(Op.Number);
+    }
+  std::erase_if(PendingOperations, IsRead);
+  if (CurrentRound && !CurrentRound->Recovering && PendingOperations.empty()) {
+    reportRound(*CurrentRound, RoundOutcome::Overtaken, Now);
+    CurrentRound.reset();
+  }
+}
+
 void RegisterNode::changeVoters(const VoterSet &NewVoters, Instant Now) {
   if (NewVoters.Epoch != Voters.Epoch + 1)
     return;
@@ -113,12 +131,11 @@
 }
 
 void RegisterNode::sendDurable(const std::string &Receiver,
-                               RegisterMessage Message) {
-  if (LastStore == LastDurable)
+                               RegisterMessage Message, uint64_t Store) {
+  if (Store <= LastDurable)
     send(Receiver, std::move(Message));
   else
-    RepliesAfterStore.emplace(LastStore,
-                              SendToVoter{Receiver, std::move(Message)});
+    RepliesAfterStore.emplace(Store, SendToVoter{Receiver, std::move(Message)});
 }
 
 void RegisterNode::handle(const std::string &Sender,
@@ -130,7 +147,7 @@
   const PrepareReply Reply = detail::prepare(State, Request);
   if (State.Promised != OldPromised)
     store();
-  sendDurable(Sender, Reply);
+  sendDurable(Sender, Reply, LastStore);
 }
 
 void RegisterNode::handle(const std::string &Sender, const PrepareReply &Reply,
@@ -153,9 +170,11 @@
   HighestRound = std::max(HighestRound, Request.RoundBallot.Round);
   const Ballot OldAccepted = State.Accepted;
   const AcceptReply Reply = detail::accept(State, Request);
-  if (State.Accepted != OldAccepted)
+  if (State.Accepted != OldAccepted) {
     store();
-  sendDurable(Sender, Reply);
+    AcceptedStore = LastStore;
+  }
+  sendDurable(Sender, Reply, LastStore);
 }
 
 void RegisterNode::handle(const std::string &Sender, const AcceptReply &Reply,
@@ -176,7 +195,8 @@
 void RegisterNode::handle(const std::string &Sender, const ReadRequest &Request,
                           Instant) {
   if (Voting)
-    sendDurable(Sender, ReadReply{Request.Number, State.Accepted});
+    sendDurable(Sender, ReadReply{Request.Number, State.Accepted},
+                AcceptedStore);
 }
 
 void RegisterNode::handle(const std::string &Sender, const ReadReply &Reply,
@@ -208,8 +228,8 @@
 }
 
 void RegisterNode::handle(const std::string &, const ChosenValue &Chosen,
-                          Instant) {
-  learn(Chosen);
+                          Instant Now) {
+  learn(Chosen, Now);
 }
 
 void RegisterNode::handle(const std::string &Sender, const ChosenRequest &,
@@ -295,6 +315,7 @@
   State.ChosenVoters = Voters;
   Voting = true;
   store();
+  AcceptedStore = LastStore;
   reportRound(*CurrentRound, RoundOutcome::Decided, Now);
   CurrentRound.reset();
   startRoundIfNeeded(Now);
@@ -311,7 +332,7 @@
                                });
   });
   const ChosenValue Chosen{Finished.RoundBallot, Finished.Value};
-  learn(Chosen);
+  learn(Chosen, Now);
   for (const std::string &Voter : Finished.Contacted)
     if (Voter != Self)
       send(Voter, Chosen);
@@ -322,28 +343,33 @@
 
 void RegisterNode::abandonRound(Instant Now, RoundOutcome Outcome) {
   reportRound(*CurrentRound, Outcome, Now);
-  CurrentRound.reset();
   std::uniform_int_distribution<int64_t> Distribution(
-      0, RetryPause.current().count());
+      0, longestPause(*CurrentRound, Outcome, Now).count());
   NextRoundTime = Now + Duration(Distribution(Rng));
+  CurrentRound.reset();
   if (Outcome == RoundOutcome::TimedOut)
     RoundTimeout.grow();
-  else
-    RetryPause.grow();
+}
+
+Duration RegisterNode::longestPause(const Round &Lost, RoundOutcome Outcome,
+                                    Instant Now) const {
+  if (Outcome == RoundOutcome::TimedOut)
+    return Limits.RetryPause;
+  // A VM that was paused must not wait for the time of its pause.
+  return std::clamp(Now - Lost.Started, Limits.RetryPause,
+                    Limits.FirstRoundTimeout);
 }
 
 void RegisterNode::reportRound(const Round &EndedRound, RoundOutcome Outcome,
                                Instant Now) {
   const Duration Elapsed = Now - EndedRound.Started;
-  if (Outcome == RoundOutcome::Decided)
-    RetryPause.reset();
   // Rounds on slow disks keep the longer timeout.
   if (Outcome == RoundOutcome::Decided && Elapsed < Limits.FirstRoundTimeout)
     RoundTimeout.reset();
   Effects.emplace_back(RoundEnded{Outcome, Elapsed});
 }
 
-void RegisterNode::learn(const ChosenValue &Chosen) {
+void RegisterNode::learn(const ChosenValue &Chosen, Instant Now) {
   HighestRound = std::max(HighestRound, Chosen.ChosenBallot.Round);
   if (NewestChosen && NewestChosen->ChosenBallot >= Chosen.ChosenBallot)
     return;
@@ -359,6 +385,7 @@
       store();
   }
   Effects.emplace_back(ValueChosen{Chosen.Value});
+  restartReads(Now);
 }
 
 void RegisterNode::endOperation(const Operation &EndedOperation,
--- a/src/versionregister/registernode.h
+++ b/src/versionregister/registernode.h
@@ -26,10 +26,10 @@
   /// of a round on any disk.
   Duration FirstRoundTimeout = std::chrono::seconds(1);
   Duration LongestRoundTimeout = std::chrono::seconds(8);
-  /// Upper bound of the random pause after a round that was abandoned. It
-  /// doubles with each round in a row that lost against another proposer.
-  Duration FirstRetryPause = std::chrono::milliseconds(60);
-  Duration LongestRetryPause = std::chrono::milliseconds(480);
+  /// Upper bound of the random pause after a round that was abandoned. After a
+  /// round that lost against another proposer, it is at least the time that the
+  /// round took: the other one needs as long.
+  Duration RetryPause = std::chrono::milliseconds(60);
   /// An operation without a result after this time ends as Unavailable.
   Duration OperationTimeout = std::chrono::milliseconds(900);
 };
@@ -104,8 +104,9 @@
 
   void send(const std::string &Receiver, RegisterMessage Message);
   void store();
-  /// Sends \p Message once all states stored so far are durable.
-  void sendDurable(const std::string &Receiver, RegisterMessage Message);
+  /// Sends \p Message once the state with the number \p Store is durable.
+  void sendDurable(const std::string &Receiver, RegisterMessage Message,
+                   uint64_t Store);
   void startRound(Instant Now);
   /// Ends the first phase of the current round if a majority has promised.
   /// Operations that arrive until then are decided by the round too.
@@ -120,9 +121,15 @@
   /// Ends the current round without a decision. The next one starts after a
   /// random pause.
   void abandonRound(Instant Now, RoundOutcome Outcome);
+  Duration longestPause(const detail::Round &Lost, RoundOutcome Outcome,
+                        Instant Now) const;
   void reportRound(const detail::Round &EndedRound, RoundOutcome Outcome,
                    Instant Now);
-  void learn(const ChosenValue &Chosen);
+  void learn(const ChosenValue &Chosen, Instant Now);
+  /// Asks the voters again for the pending reads: after a newer value was
+  /// chosen, they may need no round any more.
+  void restartReads(Instant Now);
+  void sendReadRequests(uint64_t Number);
   void endOperation(const detail::Operation &EndedOperation,
                     OperationOutcome Outcome);
   void startRoundIfNeeded(Instant Now);
@@ -142,11 +149,12 @@
   std::map<uint64_t, PendingRead> PendingReads;
   std::optional<detail::Round> CurrentRound;
   detail::Backoff RoundTimeout;
-  detail::Backoff RetryPause;
   Instant NextRoundTime;
 
   uint64_t LastStore = 0;
   uint64_t LastDurable = 0;
+  /// First state with the value that this voter accepted last.
+  uint64_t AcceptedStore = 0;
   /// Replies that are sent once a state is durable, by the number of that
   /// state.
   std::multimap<uint64_t, SendToVoter> RepliesAfterStore;
--- a/src/versionregister/tests/slowdisk_test.cpp
+++ b/src/versionregister/tests/slowdisk_test.cpp
@@ -5,7 +5,9 @@
 #include <algorithm>
 #include <functional>
 #include <map>
+#include <numeric>
 #include <ranges>
+#include <vector>
 
 using namespace sapphiremoor;
 
@@ -78,8 +80,12 @@
 
 /// Runs \p Check for several durations of a durable write, with several seeds.
 void forSlowDisks(const std::function<void(RegisterNetwork &)> &Check) {
+  std::vector<uint64_t> Seeds(10);
+  std::iota(Seeds.begin(), Seeds.end(), 1);
+  // Seeds with which proposers overtook each other for too long.
+  Seeds.insert(Seeds.end(), {43, 90, 103, 122, 128});
   for (const int WriteMs : {20, 80, 130, 200, 300})
-    for (uint64_t Seed = 1; Seed <= 10; ++Seed) {
+    for (const uint64_t Seed : Seeds) {
       CAPTURE(WriteMs);
       CAPTURE(Seed);
       RegisterNetwork Network(3, Seed);
