Let a voter vote again when its disk takes writes again

Cause: one failed write ended the votes of a control VM until its process was started again. It went on sending heartbeats, so it was not replaced, and the second such VM took the majority.

Change: after a failed write, the control VM opens its data folder again each half second and stores its current state. Replies that wait for an earlier write are sent once that state is durable, so nothing is promised that is not on the disk: the state file is replaced as a whole, and the one in memory is newer than the one that failed. storage_recovered (512) says when it worked.

--- a/src/cluster/internal/registerservice.cpp
+++ b/src/cluster/internal/registerservice.cpp
@@ -15,6 +15,7 @@
 namespace {
 
 constexpr Duration TickPeriod = std::chrono::milliseconds(25);
+constexpr Duration ReopenPeriod = std::chrono::milliseconds(500);
 constexpr Duration VoterCheckPeriod = std::chrono::milliseconds(200);
 
 /// A voter that has been silent for this time is reported in the log.
@@ -106,12 +107,7 @@
              Start.StoredState
                  ? std::to_string(Start.StoredState->Value.Document.Version)
                  : "none"}});
-  Storage = std::make_unique<StorageTask>(
-      std::move(Opened.Log), [this](std::vector<StorageReply> Replies) {
-        Loop.post([this, Replies = std::move(Replies)] {
-          handleStorageReplies(Replies);
-        });
-      });
+  startStorage(std::move(Opened.Log));
   Node =
       std::make_unique<RegisterNode>(Start, RegisterLimits{}, secureRandom64());
   announceVoters();
@@ -122,6 +118,26 @@
   return Done{};
 }
 
+void RegisterService::startStorage(std::unique_ptr<RecordLog> Log) {
+  Storage = std::make_unique<StorageTask>(
+      std::move(Log), [this](std::vector<StorageReply> Replies) {
+        Loop.post([this, Replies = std::move(Replies)] {
+          handleStorageReplies(Replies);
+        });
+      });
+}
+
+void RegisterService::reopenStorage() {
+  NextReopen = Loop.now() + ReopenPeriod;
+  auto Reopened = RecordLog::open(Settings.DataFolder);
+  if (isError(Reopened))
+    return;
+  startStorage(takeValue(std::move(Reopened)).Log);
+  UnsyncedWrites.clear();
+  Node->storeAgain();
+  run();
+}
+
 void RegisterService::put(const VersionedDocument &Document,
                           OperationHandler Handler) {
   Requests.emplace(Node->put(Document, Loop.now()),
@@ -204,8 +220,6 @@
 }
 
 void RegisterService::store(const StoreState &Effect) {
-  if (StorageLost)
-    return;
   UnsyncedWrites.emplace(Effect.Number, Loop.now());
   Storage->submit({Effect.Number, ReplaceState{encode(Effect.State)}});
 }
@@ -214,13 +228,14 @@
     const std::vector<StorageReply> &Replies) {
   for (const StorageReply &Reply : Replies) {
     if (isError(Reply.Outcome)) {
-      if (!StorageLost)
+      if (!StorageFailed)
         logEvent(events::StorageFailed,
                  {{"error", describe(errorOf(Reply.Outcome))}});
-      // Nothing can be made durable any more, so this VM gives no votes.
-      StorageLost = true;
+      StorageFailed = true;
       return;
     }
+    if (std::exchange(StorageFailed, false))
+      logEvent(events::StorageRecovered);
     if (const auto Write = UnsyncedWrites.extract(Reply.Number))
       ServiceMetrics.StoreTimes.record(Loop.now() - Write.mapped());
     Node->confirmStored(Reply.Number);
@@ -261,7 +276,7 @@
   logEvent(
       events::ConfigurationUnavailable,
       {{"operation", std::string(Operation)},
-       {"voting", Node->isVoting() && !StorageLost ? "yes" : "no"},
+       {"voting", Node->isVoting() && !StorageFailed ? "yes" : "no"},
        {"last_round",
         LastRound ? std::string(outcomeName(LastRound->Outcome)) : "none"},
        {"last_round_ms", LastRound ? milliseconds(LastRound->Elapsed) : "0"},
@@ -271,6 +286,8 @@
 void RegisterService::tick() {
   const Instant Now = Loop.now();
   Node->tick(Now);
+  if (StorageFailed && Now >= NextReopen)
+    reopenStorage();
   if (!Node->chosen() && !StartupRead && !Node->voters().Voters.empty())
     StartupRead = Node->read(Now);
   if (Now >= NextVoterCheck) {
@@ -361,7 +378,7 @@
   ReportedVoters = std::move(Addresses);
   ServiceMetrics.VoterCount.set(static_cast<double>(Voters.Voters.size()));
   ServiceMetrics.SilentVoterCount.set(static_cast<double>(Silent.size()));
-  ServiceMetrics.Voting.set(Node->isVoting() && !StorageLost ? 1 : 0);
+  ServiceMetrics.Voting.set(Node->isVoting() && !StorageFailed ? 1 : 0);
 }
 
 } // namespace sapphiremoor
--- a/src/cluster/registerservice.h
+++ b/src/cluster/registerservice.h
@@ -67,6 +67,9 @@
   /// Has the bus dial the voters.
   void announceVoters();
   void sendToVoter(const SendToVoter &Message);
+  void startStorage(std::unique_ptr<RecordLog> Log);
+  /// Opens the data folder again after a failed write, and stores the state.
+  void reopenStorage();
   void store(const StoreState &Effect);
   void handleStorageReplies(const std::vector<StorageReply> &Replies);
   void handleRoundEnd(const RoundEnded &Effect);
@@ -85,7 +88,10 @@
   std::function<void(const RegisterValue &)> OnChosen;
   std::unique_ptr<RegisterNode> Node;
   std::unique_ptr<StorageTask> Storage;
-  bool StorageLost = false;
+  /// Set from a failed write until the data folder takes writes again. This VM
+  /// sends no replies that depend on its disk meanwhile.
+  bool StorageFailed = false;
+  Instant NextReopen;
   /// Requests by the number of their operation.
   std::map<uint64_t, PendingRequest> Requests;
   /// Start times of writes that are not durable yet, by number.
--- a/src/cluster/tests/controlnode_test.cpp
+++ b/src/cluster/tests/controlnode_test.cpp
@@ -7,6 +7,7 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <filesystem>
 #include <memory>
 #include <set>
 #include <string>
@@ -81,6 +82,36 @@
     }
   }
 
+  /// Sends \p Document to VM \p Number as often as \p Attempts allow. Returns
+  /// true once it is decided.
+  bool putAt(std::size_t Number, const VersionedDocument &Document,
+             int Attempts) {
+    bool Decided = false;
+    for (int Attempt = 0; Attempt < Attempts && !Decided; ++Attempt) {
+      bool Ended = false;
+      configuration(Number).put(
+          Document, [&](OperationOutcome Outcome, const VersionedDocument &) {
+            Decided = Outcome == OperationOutcome::Decided;
+            Ended = true;
+          });
+      while (!Ended)
+        Loop->runOnce(true);
+    }
+    return Decided;
+  }
+
+  /// Lets the disk of VM \p Number refuse writes of the configuration, or take
+  /// them again.
+  void refuseWrites(std::size_t Number, bool Refuses) const {
+    const std::string BlockedFile =
+        Vms[Number].Settings.DataFolder + "/state.tmp";
+    // The storage thread may create the file again before the folder is there.
+    std::error_code Ignored;
+    do
+      std::filesystem::remove(BlockedFile, Ignored);
+    while (Refuses && !std::filesystem::create_directory(BlockedFile, Ignored));
+  }
+
   ControlNode &node(std::size_t Number) { return *Vms[Number].Node; }
   EventLoop &loop() { return *Loop; }
 
@@ -149,6 +180,26 @@
 
 } // namespace
 
+// Guards against a voter that never votes again after its disk has refused a
+// write: when a second disk does, the configuration is lost to all.
+TEST_CASE("a voter votes again when its disk takes writes again") {
+  constexpr int Attempts = 5;
+  ControlVms Vms(3);
+  Vms.start({processEndpoint(0), processEndpoint(1), processEndpoint(2)}, true);
+  Vms.put({1, "one"});
+  Vms.waitFor(1);
+  uint64_t Version = 1;
+  for (std::size_t Failing = 0; Failing < 3; ++Failing) {
+    CAPTURE(Failing);
+    const std::size_t Other = (Failing + 1) % 3;
+    Vms.refuseWrites(Failing, true);
+    CHECK(Vms.putAt(Other, {++Version, "refused"}, Attempts));
+    Vms.refuseWrites(Failing, false);
+    CHECK(Vms.putAt(Other, {++Version, "taken"}, Attempts));
+  }
+  Vms.stop();
+}
+
 // Guards against control VMs that never find each other after a loss of all
 // power, because their settings name only VMs that are gone.
 TEST_CASE("control VMs with outdated seeds find the voters they have stored") {
--- a/src/framework/eventlog/event.h
+++ b/src/framework/eventlog/event.h
@@ -61,6 +61,7 @@
 inline constexpr Event VoterHeard{510, Level::Info, "voter_heard"};
 inline constexpr Event ConfigurationUnavailable{511, Level::Warning,
                                                 "configuration_unavailable"};
+inline constexpr Event StorageRecovered{512, Level::Info, "storage_recovered"};
 inline constexpr Event ReadinessChanged{600, Level::Info, "readiness_changed"};
 inline constexpr Event SettingsReloaded{601, Level::Info, "settings_reloaded"};
 } // namespace events
--- a/src/framework/eventlog/internal/eventlog.cpp
+++ b/src/framework/eventlog/internal/eventlog.cpp
@@ -57,7 +57,8 @@
     events::VotersChanging,   events::ChangeRefused,
     events::JobsRecovered,    events::VoterSilent,
     events::VoterHeard,       events::ConfigurationUnavailable,
-    events::ReadinessChanged, events::SettingsReloaded};
+    events::StorageRecovered, events::ReadinessChanged,
+    events::SettingsReloaded};
 
 } // namespace
 
--- a/src/versionregister/internal/registernode.cpp
+++ b/src/versionregister/internal/registernode.cpp
@@ -109,6 +109,11 @@
   RepliesAfterStore.erase(RepliesAfterStore.begin(), EndIt);
 }
 
+void RegisterNode::storeAgain() {
+  if (LastStore > LastDurable)
+    store();
+}
+
 void RegisterNode::tick(Instant Now) {
   expireOperations(Now);
   if (CurrentRound && Now - CurrentRound->Started > RoundTimeout.current())
--- a/src/versionregister/registernode.h
+++ b/src/versionregister/registernode.h
@@ -70,6 +70,9 @@
                Instant Now);
   /// Notes that the state of the StoreState effect \p Number is durable.
   void confirmStored(uint64_t Number);
+  /// Stores the current state again, because earlier writes failed. Replies
+  /// that wait for one of them are sent once this one is durable.
+  void storeAgain();
   void tick(Instant Now);
 
   /// Returns the effects since the last call, in order.
