Let the copy of the stored jobs be used again after a failed write

What callers saw: stored jobs that got no answer in time, from the second disk on that had refused writes for 4 s, although both worked again.

Change: RecoveringStorage owns a data folder, its thread and its replies, and opens the folder again after a failed write; the register and the job store both use it.

--- a/src/cluster/internal/jobstoreservice.cpp
+++ b/src/cluster/internal/jobstoreservice.cpp
@@ -56,6 +56,10 @@
   return State;
 }
 
+uint64_t nextIndex(const RecoveredFolder &Folder) {
+  return Folder.FirstIndex + Folder.Records.size();
+}
+
 } // namespace
 
 JobStoreService::JobStoreService(EventLoop &Loop,
@@ -66,32 +70,31 @@
     : Loop(Loop), Settings(Settings), Bus(Bus), Configuration(Configuration),
       Dispatch(Dispatch),
       Writer({}, describe(Settings.AdvertisedPeer), Bus.self().Incarnation),
+      Storage(Loop, Settings.DataFolder + "/jobs",
+              {[this](const std::vector<uint64_t> &Numbers) {
+                 confirmDurable(Numbers);
+               },
+               [this](const RecoveredFolder &Folder) { storeAgain(Folder); }}),
       Takeovers({}), TickTimer(Loop, [this] { tick(); }) {}
 
 Result<Done> JobStoreService::start() {
-  auto OpenResult = RecordLog::open(Settings.DataFolder + "/jobs");
+  const Result<RecoveredFolder> OpenResult = Storage.open();
   if (isError(OpenResult))
     return errorOf(OpenResult);
-  OpenedLog Opened = takeValue(std::move(OpenResult));
-  Result<CopyState> State = restoreState(Opened.Recovered);
+  const RecoveredFolder &Recovered = valueOf(OpenResult);
+  Result<CopyState> State = restoreState(Recovered);
   if (isError(State))
     return errorOf(State);
-  NextRecord = Opened.Log->nextIndex();
-  for (const std::string &Record : Opened.Recovered.Records)
+  NextRecord = nextIndex(Recovered);
+  for (const std::string &Record : Recovered.Records)
     LogBytes += Record.size();
   logEvent(events::JobsRecovered,
            {{"jobs", std::to_string(valueOf(State).Jobs.size())},
             {"whole", valueOf(State).Status.Complete ? "yes" : "no"},
-            {"records", std::to_string(Opened.Recovered.Records.size())}});
+            {"records", std::to_string(Recovered.Records.size())}});
   LocalCopy = std::make_unique<JobCopy>(CopyOptions{
       describe(Settings.AdvertisedPeer), takeValue(std::move(State)),
       secureRandom64(), Settings.FirstStart});
-  Storage = std::make_unique<StorageTask>(
-      std::move(Opened.Log), [this](std::vector<StorageReply> Replies) {
-        Loop.post([this, Replies = std::move(Replies)] {
-          handleStorageReplies(Replies);
-        });
-      });
   TickTimer.startPeriodic(TickPeriod);
   tick();
   return Done{};
@@ -151,35 +154,31 @@
 }
 
 void JobStoreService::perform(const AppendEntry &Effect) {
-  if (StorageLost)
-    return;
+  LastEntry = Effect.Number;
   std::string Bytes = encode(Effect.Entry);
   LogBytes += Bytes.size();
-  Storage->submit(
+  Storage.submit(
       {Effect.Number, AppendRecords{NextRecord++, {std::move(Bytes)}}});
   if (LogBytes > LogLimitBytes)
-    takeSnapshot();
+    takeSnapshot(NoReplyNumber);
 }
 
-void JobStoreService::takeSnapshot() {
+void JobStoreService::takeSnapshot(uint64_t ReplyNumber) {
   LogBytes = 0;
-  Storage->submit({NoReplyNumber, ReplaceSnapshot{encode(LocalCopy->state()),
-                                                  NextRecord, true}});
+  Storage.submit({ReplyNumber, ReplaceSnapshot{encode(LocalCopy->state()),
+                                               NextRecord, true}});
 }
 
-void JobStoreService::handleStorageReplies(
-    const std::vector<StorageReply> &Replies) {
+void JobStoreService::storeAgain(const RecoveredFolder &Folder) {
+  NextRecord = nextIndex(Folder);
+  takeSnapshot(LastEntry);
+}
+
+void JobStoreService::confirmDurable(const std::vector<uint64_t> &Numbers) {
   Dispatch.checkStall();
-  for (const StorageReply &Reply : Replies) {
-    if (isError(Reply.Outcome)) {
-      if (!std::exchange(StorageLost, true))
-        logEvent(events::StorageFailed,
-                 {{"error", describe(errorOf(Reply.Outcome))}});
-      return;
-    }
-    if (Reply.Number != NoReplyNumber)
-      LocalCopy->confirmDurable(Reply.Number);
-  }
+  for (const uint64_t Number : Numbers)
+    if (Number != NoReplyNumber)
+      LocalCopy->confirmDurable(Number);
   run();
 }
 
--- a/src/cluster/internal/registerservice.cpp
+++ b/src/cluster/internal/registerservice.cpp
@@ -15,7 +15,6 @@
 namespace {
 
 constexpr Duration TickPeriod = std::chrono::milliseconds(25);
-constexpr Duration ReopenPeriod = std::chrono::milliseconds(500);
 constexpr Duration VoterCheckPeriod = std::chrono::milliseconds(200);
 
 /// A voter that has been silent for this time is reported in the log.
@@ -79,21 +78,25 @@
 RegisterService::RegisterService(EventLoop &Loop,
                                  const ClusterSettings &Settings,
                                  ClusterBus &Bus, Registry &Metrics)
-    : Loop(Loop), Settings(Settings), Bus(Bus), ServiceMetrics(Metrics),
-      TickTimer(Loop, [this] { tick(); }) {}
+    : Loop(Loop), Settings(Settings), Bus(Bus),
+      Storage(Loop, Settings.DataFolder,
+              {[this](const std::vector<uint64_t> &Numbers) {
+                 confirmStored(Numbers);
+               },
+               [this](const RecoveredFolder &) { storeAgain(); }}),
+      ServiceMetrics(Metrics), TickTimer(Loop, [this] { tick(); }) {}
 
 Result<Done>
 RegisterService::start(std::function<void(const RegisterValue &)> Handler) {
   OnChosen = std::move(Handler);
   StartTime = Loop.now();
   ExchangedAt = StartTime;
-  auto OpenResult = RecordLog::open(Settings.DataFolder);
-  if (isError(OpenResult))
-    return errorOf(OpenResult);
-  OpenedLog Opened = takeValue(std::move(OpenResult));
+  const Result<RecoveredFolder> Recovered = Storage.open();
+  if (isError(Recovered))
+    return errorOf(Recovered);
   RegisterStart Start{describe(Settings.AdvertisedPeer), {}, {}};
-  if (Opened.Recovered.State) {
-    Result<AcceptorState> State = decodeStoredState(*Opened.Recovered.State);
+  if (valueOf(Recovered).State) {
+    Result<AcceptorState> State = decodeStoredState(*valueOf(Recovered).State);
     if (isError(State))
       return errorOf(State);
     Start.StoredState = takeValue(std::move(State));
@@ -107,7 +110,6 @@
              Start.StoredState
                  ? std::to_string(Start.StoredState->Value.Document.Version)
                  : "none"}});
-  startStorage(std::move(Opened.Log));
   Node =
       std::make_unique<RegisterNode>(Start, RegisterLimits{}, secureRandom64());
   announceVoters();
@@ -118,26 +120,6 @@
   return Done{};
 }
 
-void RegisterService::startStorage(std::unique_ptr<RecordLog> Log) {
-  Storage = std::make_unique<StorageTask>(
-      std::move(Log), [this](std::vector<StorageReply> Replies) {
-        Loop.post([this, Replies = std::move(Replies)] {
-          handleStorageReplies(Replies);
-        });
-      });
-}
-
-void RegisterService::reopenStorage() {
-  NextReopen = Loop.now() + ReopenPeriod;
-  auto Reopened = RecordLog::open(Settings.DataFolder);
-  if (isError(Reopened))
-    return;
-  startStorage(takeValue(std::move(Reopened)).Log);
-  UnsyncedWrites.clear();
-  Node->storeAgain();
-  run();
-}
-
 void RegisterService::put(const VersionedDocument &Document,
                           OperationHandler Handler) {
   Requests.emplace(Node->put(Document, Loop.now()),
@@ -221,28 +203,24 @@
 
 void RegisterService::store(const StoreState &Effect) {
   UnsyncedWrites.emplace(Effect.Number, Loop.now());
-  Storage->submit({Effect.Number, ReplaceState{encode(Effect.State)}});
+  Storage.submit({Effect.Number, ReplaceState{encode(Effect.State)}});
 }
 
-void RegisterService::handleStorageReplies(
-    const std::vector<StorageReply> &Replies) {
-  for (const StorageReply &Reply : Replies) {
-    if (isError(Reply.Outcome)) {
-      if (!StorageFailed)
-        logEvent(events::StorageFailed,
-                 {{"error", describe(errorOf(Reply.Outcome))}});
-      StorageFailed = true;
-      return;
-    }
-    if (std::exchange(StorageFailed, false))
-      logEvent(events::StorageRecovered);
-    if (const auto Write = UnsyncedWrites.extract(Reply.Number))
+void RegisterService::confirmStored(const std::vector<uint64_t> &Numbers) {
+  for (const uint64_t Number : Numbers) {
+    if (const auto Write = UnsyncedWrites.extract(Number))
       ServiceMetrics.StoreTimes.record(Loop.now() - Write.mapped());
-    Node->confirmStored(Reply.Number);
+    Node->confirmStored(Number);
   }
   run();
 }
 
+void RegisterService::storeAgain() {
+  UnsyncedWrites.clear();
+  Node->storeAgain();
+  run();
+}
+
 void RegisterService::handleRoundEnd(const RoundEnded &Effect) {
   LastRound = Effect;
   switch (Effect.Outcome) {
@@ -276,7 +254,7 @@
   logEvent(
       events::ConfigurationUnavailable,
       {{"operation", std::string(Operation)},
-       {"voting", Node->isVoting() && !StorageFailed ? "yes" : "no"},
+       {"voting", isVoting() ? "yes" : "no"},
        {"last_round",
         LastRound ? std::string(outcomeName(LastRound->Outcome)) : "none"},
        {"last_round_ms", LastRound ? milliseconds(LastRound->Elapsed) : "0"},
@@ -286,8 +264,6 @@
 void RegisterService::tick() {
   const Instant Now = Loop.now();
   Node->tick(Now);
-  if (StorageFailed && Now >= NextReopen)
-    reopenStorage();
   if (!Node->chosen() && !StartupRead && !Node->voters().Voters.empty())
     StartupRead = Node->read(Now);
   if (Now >= NextVoterCheck) {
@@ -378,7 +354,7 @@
   ReportedVoters = std::move(Addresses);
   ServiceMetrics.VoterCount.set(static_cast<double>(Voters.Voters.size()));
   ServiceMetrics.SilentVoterCount.set(static_cast<double>(Silent.size()));
-  ServiceMetrics.Voting.set(Node->isVoting() && !StorageFailed ? 1 : 0);
+  ServiceMetrics.Voting.set(isVoting() ? 1 : 0);
 }
 
 } // namespace sapphiremoor
--- a/src/cluster/jobstoreservice.h
+++ b/src/cluster/jobstoreservice.h
@@ -3,8 +3,8 @@
 
 #include "cluster/clusterbus.h"
 #include "cluster/dispatchservice.h"
+#include "cluster/recoveringstorage.h"
 #include "cluster/registerservice.h"
-#include "framework/storage/storagetask.h"
 #include "jobstore/jobcopy.h"
 #include "jobstore/jobwriter.h"
 #include "jobstore/takeoverwatch.h"
@@ -72,8 +72,12 @@
   void perform(const JobsLost &Effect);
   void perform(const EndsForgotten &Effect);
   void deliverToSelf(const JobStoreMessage &Message);
-  void handleStorageReplies(const std::vector<StorageReply> &Replies);
-  void takeSnapshot();
+  void confirmDurable(const std::vector<uint64_t> &Numbers);
+  /// Replaces the log by a snapshot of the copy. The reply has the number
+  /// \p ReplyNumber.
+  void takeSnapshot(uint64_t ReplyNumber);
+  /// Writes the whole copy to a folder that was opened again.
+  void storeAgain(const RecoveredFolder &Folder);
   /// Calls \p Handler once all states of the job that were written so far are
   /// durable.
   void whenDurable(const std::string &Job, std::function<void()> Handler,
@@ -115,8 +119,9 @@
   DispatchService &Dispatch;
   std::unique_ptr<JobCopy> LocalCopy;
   JobWriter Writer;
-  std::unique_ptr<StorageTask> Storage;
-  bool StorageLost = false;
+  RecoveringStorage Storage;
+  /// Number of the last entry of the copy that was submitted.
+  uint64_t LastEntry = 0;
   bool Running = false;
   uint64_t NextRecord = 1;
   std::size_t LogBytes = 0;
--- a/src/cluster/registerservice.h
+++ b/src/cluster/registerservice.h
@@ -2,8 +2,8 @@
 #define SAPPHIREMOOR_CLUSTER_REGISTERSERVICE_H
 
 #include "cluster/clusterbus.h"
+#include "cluster/recoveringstorage.h"
 #include "framework/metrics/registry.h"
-#include "framework/storage/storagetask.h"
 #include "versionregister/registernode.h"
 #include "versionregister/voterwatch.h"
 
@@ -67,11 +67,10 @@
   /// Has the bus dial the voters.
   void announceVoters();
   void sendToVoter(const SendToVoter &Message);
-  void startStorage(std::unique_ptr<RecordLog> Log);
-  /// Opens the data folder again after a failed write, and stores the state.
-  void reopenStorage();
   void store(const StoreState &Effect);
-  void handleStorageReplies(const std::vector<StorageReply> &Replies);
+  void confirmStored(const std::vector<uint64_t> &Numbers);
+  void storeAgain();
+  bool isVoting() const { return Node->isVoting() && !Storage.failed(); }
   void handleRoundEnd(const RoundEnded &Effect);
   void handleOperationEnd(const OperationEnded &Effect);
   void logUnavailable(std::string_view Operation) const;
@@ -87,11 +86,7 @@
   ClusterBus &Bus;
   std::function<void(const RegisterValue &)> OnChosen;
   std::unique_ptr<RegisterNode> Node;
-  std::unique_ptr<StorageTask> Storage;
-  /// Set from a failed write until the data folder takes writes again. This VM
-  /// sends no replies that depend on its disk meanwhile.
-  bool StorageFailed = false;
-  Instant NextReopen;
+  RecoveringStorage Storage;
   /// Requests by the number of their operation.
   std::map<uint64_t, PendingRequest> Requests;
   /// Start times of writes that are not durable yet, by number.
