Ask only control VMs for a configuration that is lacking

What callers saw: a control VM that came back with an empty disk answered every read of the configuration with 503 and never voted again, so that the next loss takes the majority (CONFIG).

Cause: it asks the sender of a heartbeat with a newer configuration, at most each 300 ms. Entry VMs send such heartbeats too, but do not answer the request. As heartbeats come each 150 ms, the same entry VM was the first after each 300 ms, and the others were never asked. The request to each VM whose link comes up was lost before: it was sent ahead of the first heartbeat, and a control VM drops requests of a VM that it does not know.

Change: only heartbeats of control VMs cause a request; a VM sends its heartbeat before anything else on a new link.

--- a/src/cluster/internal/clusterbus.cpp
+++ b/src/cluster/internal/clusterbus.cpp
@@ -37,11 +37,12 @@
               logEvent(events::PeerUp,
                        {{"peer", Peer.Name},
                         {"incarnation", std::to_string(Peer.Incarnation)}});
-              Handlers.OnPeerUp(Peer);
-              // Only to the new peer: when many links come up at once, a
-              // heartbeat to all of them for each one grows with the square
-              // of their number.
+              // First, since a request of an unknown VM is not answered. Only
+              // to the new peer: when many links come up at once, a heartbeat
+              // to all of them for each one grows with the square of their
+              // number.
               Mesh.send(Peer.Name, makeHeartbeat());
+              Handlers.OnPeerUp(Peer);
             },
             [this](const VmId &Peer) {
               logEvent(events::PeerDown, {{"peer", Peer.Name}});
--- a/src/cluster/internal/controlnode.cpp
+++ b/src/cluster/internal/controlnode.cpp
@@ -116,6 +116,9 @@
                                   const ClusterHeartbeat &Message) {
   Dispatch.updatePeerLoad(Message);
   Backends.handlePeerHeartbeat(Sender, Message.Self.Role);
+  // Entry VMs do not answer a request for the chosen value.
+  if (Message.Self.Role != MemberRole::Control)
+    return;
   const Instant Now = Loop.now();
   if (Message.ConfigurationBallot <= Configuration.chosenBallot() ||
       Now - ConfigurationRequestedAt < ConfigurationRetryDelay)
--- a/src/cluster/tests/controlnode_test.cpp
+++ b/src/cluster/tests/controlnode_test.cpp
@@ -158,6 +158,11 @@
 
   void send(const ClusterMessage &Message) { Mesh.sendToAll(encode(Message)); }
 
+  const std::vector<ClusterMessage> &received() const { return Received; }
+
+  /// Ballot of the configuration that this VM claims to have.
+  Ballot ConfigurationBallot;
+
   template <typename Message> std::size_t count() const {
     return static_cast<std::size_t>(
         std::ranges::count_if(Received, [](const ClusterMessage &Item) {
@@ -169,6 +174,7 @@
   void sendHeartbeat() {
     ClusterHeartbeat Heartbeat;
     Heartbeat.Self = Self;
+    Heartbeat.ConfigurationBallot = ConfigurationBallot;
     send(Heartbeat);
   }
 
@@ -258,6 +264,38 @@
   CHECK(Heartbeats <= PeerCount * (1 + Periods));
 }
 
+// Guards against a control VM with an empty disk that asks entry VMs for the
+// configuration, which do not answer: as heartbeats come at a fixed period, the
+// same entry VM was asked each time, and the control VM never voted again.
+TEST_CASE("a control VM asks control VMs for a configuration that it lacks") {
+  constexpr std::size_t HeartbeatCount = 12;
+  ControlVms Vms(1);
+  Vms.start({processEndpoint(0)}, false);
+  LinkedPeer Entry(Vms.loop(), "e1", MemberRole::Entry);
+  Entry.ConfigurationBallot = {5, "c9"};
+  while (Entry.count<ClusterHeartbeat>() < HeartbeatCount)
+    Vms.loop().runOnce(true);
+  // Only the request to each VM whose link comes up.
+  CHECK(Entry.count<RegisterMessage>() == 1);
+  LinkedPeer Control(Vms.loop(), "c9", MemberRole::Control);
+  Control.ConfigurationBallot = {5, "c9"};
+  while (Control.count<ClusterHeartbeat>() < HeartbeatCount)
+    Vms.loop().runOnce(true);
+  CHECK(Entry.count<RegisterMessage>() == 1);
+  CHECK(Control.count<RegisterMessage>() > 1);
+}
+
+// Guards against a first request that is dropped, because its receiver does not
+// know the sender before its first heartbeat.
+TEST_CASE("the first message on a link is a heartbeat") {
+  ControlVms Vms(1);
+  Vms.start({processEndpoint(0)}, false);
+  LinkedPeer Peer(Vms.loop(), "c9", MemberRole::Control);
+  while (Peer.count<RegisterMessage>() == 0)
+    Vms.loop().runOnce(true);
+  CHECK(std::holds_alternative<ClusterHeartbeat>(Peer.received().front()));
+}
+
 // Guards against a VM that acts on permissions that ran out while it was
 // paused: the report of a backend server was the first event after the pause,
 // and the jobs that the entry VMs had given up meanwhile went on.
