Append at the index of the reopened log in the test of the data folder

Under the sanitizers "a data folder is opened again while requests go on failing" failed: the test appended with the number of its record as index, which is not that of the log after it was opened again, so the log failed anew; whether the check came before that was a matter of time. The checks are unchanged. The job store takes the index from the reopened folder, as the test does now.

--- a/src/cluster/tests/recoveringstorage_test.cpp
+++ b/src/cluster/tests/recoveringstorage_test.cpp
@@ -19,6 +19,8 @@
   std::atomic<bool> RefusesWrites = false;
   std::vector<uint64_t> Durable;
   uint64_t LastRecord = 0;
+  /// Index of the next record in the log.
+  uint64_t NextIndex = 1;
   std::string Content;
   RecoveringStorage Storage;
 
@@ -29,11 +31,9 @@
                                   Numbers.end());
                  },
                  [this](const RecoveredFolder &Reopened) {
+                   NextIndex = Reopened.FirstIndex + Reopened.Records.size();
                    Storage.submit(
-                       {LastRecord, ReplaceSnapshot{Content,
-                                                    Reopened.FirstIndex +
-                                                        Reopened.Records.size(),
-                                                    true}});
+                       {LastRecord, ReplaceSnapshot{Content, NextIndex, true}});
                  }},
                 files()) {}
 
@@ -50,7 +50,7 @@
     ++LastRecord;
     Content += std::to_string(LastRecord);
     Storage.submit(
-        {LastRecord, AppendRecords{LastRecord, {std::to_string(LastRecord)}}});
+        {LastRecord, AppendRecords{NextIndex++, {std::to_string(LastRecord)}}});
   }
 
   void awaitFailure() {
