Log tokens, incarnations and capacities with decisions on backend servers

ownership_changed and run_decided now carry the fencing token, the start time of the incarnation, and the capacity and use that the dispatcher assumed. A listed run that the owner does not know is called unexpected; during a takeover it stays a stranger.

--- a/src/cluster/internal/dispatchservice.cpp
+++ b/src/cluster/internal/dispatchservice.cpp
@@ -27,6 +27,16 @@
   return Limits;
 }
 
+/// Adds what a decision assumed about a backend server.
+void addAssumption(Fields &Values, const BackendAssumption &Assumed) {
+  Values.emplace_back("token", std::to_string(Assumed.FencingToken));
+  Values.emplace_back("born", std::to_string(Assumed.StartTimeMs));
+  Values.emplace_back("capacity_millicores",
+                      std::to_string(Assumed.Capacity.MilliCores));
+  Values.emplace_back("used_millicores",
+                      std::to_string(Assumed.Used.MilliCores));
+}
+
 } // namespace
 
 DispatchService::DispatchService(EventLoop &Loop,
@@ -220,9 +230,11 @@
 }
 
 void DispatchService::perform(const OwnershipChanged &Change) {
-  logEvent(events::OwnershipChanged, {{"backend", Change.BackendId},
-                                      {"owned", Change.Owned ? "yes" : "no"},
-                                      {"why", Change.Reason}});
+  Fields Values{{"backend", Change.BackendId},
+                {"owned", Change.Owned ? "yes" : "no"},
+                {"why", Change.Reason}};
+  addAssumption(Values, Change.Assumed);
+  logEvent(events::OwnershipChanged, Values);
   Handlers.OnOwnershipChange(Change);
 }
 
@@ -239,19 +251,18 @@
 }
 
 void DispatchService::perform(const RunDecision &Decision) {
-  logEvent(
-      events::RunDecided,
-      {{"backend", Decision.BackendId},
-       {"job", Decision.Task.Job},
-       {"step", std::to_string(Decision.Task.Step)},
-       {"task", std::to_string(Decision.Task.Index)},
-       {"run", std::to_string(Decision.RunNumber)},
-       {"what", Decision.Decision},
-       {"age_ms",
-        std::to_string(
-            std::chrono::duration_cast<std::chrono::milliseconds>(Decision.Age)
-                .count())},
-       {"percent", std::to_string(Decision.Percent)}});
+  const auto Age =
+      std::chrono::duration_cast<std::chrono::milliseconds>(Decision.Age);
+  Fields Values{{"backend", Decision.BackendId},
+                {"job", Decision.Task.Job},
+                {"step", std::to_string(Decision.Task.Step)},
+                {"task", std::to_string(Decision.Task.Index)},
+                {"run", std::to_string(Decision.RunNumber)},
+                {"what", Decision.Decision},
+                {"age_ms", std::to_string(Age.count())},
+                {"percent", std::to_string(Decision.Percent)}};
+  addAssumption(Values, Decision.Assumed);
+  logEvent(events::RunDecided, Values);
 }
 
 } // namespace sapphiremoor
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -314,6 +314,9 @@
   void acknowledgeSupersededEnds(BackendState &Backend, Instant Now);
   void recordProbeAnswer(BackendState &Backend, Instant Now);
   void completeAcquire(BackendState &Backend);
+  /// Reports a gain or loss of ownership.
+  void emitOwnership(const BackendState &Backend, bool Owned,
+                     const std::string &Reason);
   /// Raises the token during a takeover; otherwise gives up ownership.
   void handleFenced(BackendState &Backend, Instant Now);
   /// Handles a new incarnation of the backend server.
@@ -334,7 +337,7 @@
   bool isSlow(const BackendState &Backend) const;
   /// Emits a RunDecision for the event log.
   void log(const BackendState &Backend, const TaskId &Task, uint64_t RunNumber,
-           const std::string &Decision);
+           const std::string &Decision, Duration Age = {}, int64_t Percent = 0);
   uint64_t makeToken(uint64_t Term) const;
 
   DispatchLimits Limits;
--- a/src/dispatch/internal/backendstate.h
+++ b/src/dispatch/internal/backendstate.h
@@ -4,6 +4,7 @@
 #include "dispatch/backendclock.h"
 #include "dispatch/backendhealth.h"
 #include "dispatch/types/backendreport.h"
+#include "dispatch/types/dispatcheffect.h"
 #include "dispatch/types/taskid.h"
 
 #include <map>
@@ -100,6 +101,10 @@
 
   Resources available() const { return Report.Capacity - Used; }
 
+  BackendAssumption assumption() const {
+    return {Token, Report.StartTimeMs, Report.Capacity, Used};
+  }
+
   /// Returns the highest end number that may be acknowledged.
   uint64_t acknowledgeableUpTo() const {
     return UnstoredEnds.empty() ? LastSeenEnd : *UnstoredEnds.begin() - 1;
--- a/src/dispatch/internal/dispatcherownership.cpp
+++ b/src/dispatch/internal/dispatcherownership.cpp
@@ -158,7 +158,13 @@
     return Entry.second.BackendId == Backend.Report.Id;
   });
   Backend.Mode = OwnershipMode::Owned;
-  Effects.emplace_back(OwnershipChanged{Backend.Report.Id, true, "acquired"});
+  emitOwnership(Backend, true, "acquired");
+}
+
+void Dispatcher::emitOwnership(const BackendState &Backend, bool Owned,
+                               const std::string &Reason) {
+  Effects.emplace_back(
+      OwnershipChanged{Backend.Report.Id, Owned, Reason, Backend.assumption()});
 }
 
 void Dispatcher::handleFenced(BackendState &Backend, Instant Now) {
@@ -174,7 +180,7 @@
     return;
   Backend.Mode =
       Backend.Runs.empty() ? OwnershipMode::NotOwned : OwnershipMode::Lost;
-  Effects.emplace_back(OwnershipChanged{Backend.Report.Id, false, "fenced"});
+  emitOwnership(Backend, false, "fenced");
 }
 
 void Dispatcher::reacquire(BackendState &Backend, Instant Now) {
@@ -220,7 +226,7 @@
     return;
   Backend.Mode =
       Backend.Runs.empty() ? OwnershipMode::NotOwned : OwnershipMode::Lost;
-  Effects.emplace_back(OwnershipChanged{Backend.Report.Id, false, Reason});
+  emitOwnership(Backend, false, Reason);
 }
 
 void Dispatcher::resendStops(BackendState &Backend, Instant Now) {
--- a/src/dispatch/internal/dispatcherruns.cpp
+++ b/src/dispatch/internal/dispatcherruns.cpp
@@ -47,9 +47,10 @@
 }
 
 void Dispatcher::log(const BackendState &Backend, const TaskId &Task,
-                     uint64_t RunNumber, const std::string &Decision) {
-  Effects.emplace_back(
-      RunDecision{Backend.Report.Id, Task, RunNumber, Decision, {}, 0});
+                     uint64_t RunNumber, const std::string &Decision,
+                     Duration Age, int64_t Percent) {
+  Effects.emplace_back(RunDecision{Backend.Report.Id, Task, RunNumber, Decision,
+                                   Age, Percent, Backend.assumption()});
 }
 
 void Dispatcher::sendStart(BackendState &Backend, const TaskId &Task,
@@ -416,9 +417,8 @@
       JobIt->second.Steps[Active.Task.Step].Tasks[Active.Task.Index];
   const Duration Age = Now - *Run.SeenAt;
   if (willMissDeadline(JobIt->second, Age, Active.Percent, Now)) {
-    Effects.emplace_back(RunDecision{Backend.Report.Id, Active.Task,
-                                     Active.RunNumber, "too_slow", Age,
-                                     Active.Percent});
+    log(Backend, Active.Task, Active.RunNumber, "too_slow", Age,
+        Active.Percent);
     endJob(Active.Task.Job, JobResult::GivenUp, JobReason::DeadlinePassed, Now);
     return;
   }
@@ -431,9 +431,7 @@
   if (Age * 100.0 / DonePercent <
       Limits.StragglerFactor * Estimate + Limits.StragglerSlack)
     return;
-  Effects.emplace_back(RunDecision{Backend.Report.Id, Active.Task,
-                                   Active.RunNumber, "straggler", Age,
-                                   Active.Percent});
+  log(Backend, Active.Task, Active.RunNumber, "straggler", Age, Active.Percent);
   Task.RestartedAsStraggler = true;
   recordFailure(Backend.Health, Limits, Now);
   sendStop(Backend, Active.Task, Run, Now);
@@ -445,7 +443,11 @@
     const auto RunIt = Backend.Runs.find(Active.Task);
     if (RunIt != Backend.Runs.end() && RunIt->second.Number == Active.RunNumber)
       continue;
-    log(Backend, Active.Task, Active.RunNumber, "stranger");
+    // During a takeover, the runs of the former owner are listed. Afterwards,
+    // such a run shows that this dispatcher does not know all runs.
+    const bool Owned = Backend.Mode == OwnershipMode::Owned;
+    log(Backend, Active.Task, Active.RunNumber,
+        Owned ? "unexpected" : "stranger");
     Effects.emplace_back(
         StopOrder{controlTarget(Backend), Active.Task, Active.RunNumber});
   }
--- a/src/dispatch/types/dispatcheffect.h
+++ b/src/dispatch/types/dispatcheffect.h
@@ -3,6 +3,7 @@
 
 #include "dispatch/types/control.h"
 #include "dispatch/types/jobsubmission.h"
+#include "dispatch/types/resources.h"
 #include "dispatch/types/storedjob.h"
 #include "framework/core/time.h"
 
@@ -73,11 +74,23 @@
   }
 };
 
+/// What the dispatcher assumes about a backend server when it decides, for the
+/// event log.
+struct BackendAssumption {
+  uint64_t FencingToken = 0;
+  /// Start time of the incarnation, in milliseconds since 1970.
+  int64_t StartTimeMs = 0;
+  Resources Capacity;
+  /// Resources of all runs that are or may be active.
+  Resources Used;
+};
+
 /// This VM gained or lost the ownership of a backend server.
 struct OwnershipChanged {
   std::string BackendId;
   bool Owned = false;
   std::string Reason;
+  BackendAssumption Assumed;
 };
 
 /// Decision about one run, for the event log.
@@ -88,6 +101,7 @@
   std::string Decision;
   Duration Age{0};
   int64_t Percent = 0;
+  BackendAssumption Assumed;
 };
 
 /// Refusal of a job, with the load that caused it, for the event log.
