--- a/src/dispatch/tests/fakebackends.cpp
+++ b/src/dispatch/tests/fakebackends.cpp
@@ -39,9 +39,18 @@
 Dispatcher &FakeBackends::addDispatcher(const std::string &Name, uint16_t Tag,
                                         const DispatchLimits &Limits) {
   Dispatchers[Name].Instance = std::make_unique<Dispatcher>(Limits, Tag);
+  Dispatchers[Name].Tag = Tag;
   return dispatcher(Name);
 }
 
+void FakeBackends::restartDispatcher(const std::string &Name) {
+  DispatcherProcess &Process = Dispatchers.at(Name);
+  ++Process.Life;
+  Process.Paused = false;
+  Process.Instance =
+      std::make_unique<Dispatcher>(DispatchLimits{}, Process.Tag);
+}
+
 void FakeBackends::addBackend(const std::string &Id, const Resources &Capacity,
                               const std::string &Kind) {
   Server &Backend = Servers[Id];
@@ -70,7 +79,7 @@
 void FakeBackends::assign(const std::string &Backend,
                           const std::string &Owner) {
   report(Backend, Owner);
-  dispatcher(Owner).acquire(Backend, NextTerm++, Now);
+  dispatcher(Owner).acquire(Backend, SameTerm ? NextTerm : NextTerm++, Now);
   processEffects(Owner);
 }
 
@@ -113,6 +122,11 @@
 }
 
 void FakeBackends::crash(const std::string &Backend, Duration Downtime) {
+  replace(Backend, Downtime, Duration(0), Servers.at(Backend).Report.Capacity);
+}
+
+void FakeBackends::replace(const std::string &Backend, Duration Downtime,
+                           Duration ReportDelay, const Resources &Capacity) {
   Server &CrashedBackend = Servers.at(Backend);
   if (CrashedBackend.Down)
     return;
@@ -123,15 +137,22 @@
   CrashedBackend.HighestToken = 0;
   CrashedBackend.LeaseEndMs = 0;
   CrashedBackend.Down = true;
-  schedule(Now + Downtime, [this, &CrashedBackend] {
+  schedule(Now + Downtime, [=, this, &CrashedBackend] {
     CrashedBackend.Down = false;
     CrashedBackend.BootTime = Now;
     ++CrashedBackend.Report.StartTimeMs;
     CrashedBackend.Report.Sequence = 1;
-    for (auto &[Name, Process] : Dispatchers) {
-      Process.Instance->handleReport(CrashedBackend.Report, Now);
-      processEffects(Name);
-    }
+    CrashedBackend.Report.Capacity = Capacity;
+    const auto SendReport = [this, Report = CrashedBackend.Report] {
+      for (auto &[Name, Process] : Dispatchers) {
+        Process.Instance->handleReport(Report, Now);
+        processEffects(Name);
+      }
+    };
+    if (ReportDelay > Duration(0))
+      schedule(Now + ReportDelay, SendReport);
+    else
+      SendReport();
   });
 }
 
@@ -199,8 +220,10 @@
     const AnswerHandler &NoAnswer, Duration Timeout) {
   Server &Backend = Servers.at(Target.BackendId);
   const auto Answered = std::make_shared<bool>(false);
-  const auto Deliver = [this, Name, Answered](const AnswerHandler &Handler) {
-    if (!std::exchange(*Answered, true))
+  const uint32_t Life = Dispatchers.at(Name).Life;
+  const auto Deliver = [this, Name, Life,
+                        Answered](const AnswerHandler &Handler) {
+    if (!std::exchange(*Answered, true) && Dispatchers.at(Name).Life == Life)
       deliver(Name, Handler);
   };
   std::uniform_real_distribution<double> Distribution(0, 1);
--- a/src/dispatch/tests/fakebackends.h
+++ b/src/dispatch/tests/fakebackends.h
@@ -28,6 +28,9 @@
                   const std::string &Kind = "a");
   /// Reports a backend server to a dispatcher, which then acquires it.
   void assign(const std::string &Backend, const std::string &Owner);
+  /// Replaces a dispatcher by a new process of the same VM, which knows nothing
+  /// of its predecessor's jobs and orders.
+  void restartDispatcher(const std::string &Name);
 
   /// Reports a backend server to a dispatcher.
   void report(const std::string &Backend, const std::string &Owner);
@@ -46,6 +49,10 @@
   /// Crashes a backend server and restarts it after \p Downtime. Its runs end
   /// and its state is lost; its id and address stay the same.
   void crash(const std::string &Backend, Duration Downtime);
+  /// The same, but the new incarnation has another capacity and reports itself
+  /// \p ReportDelay after its start.
+  void replace(const std::string &Backend, Duration Downtime,
+               Duration ReportDelay, const Resources &Capacity);
   /// While \p Silent, the orders to the backend server and its answers are
   /// lost.
   void setSilent(const std::string &Backend, bool Silent);
@@ -82,6 +89,9 @@
   /// Backend servers to which all new orders are lost. Orders sent earlier may
   /// still arrive.
   std::set<std::string> UnreachableBackends;
+  /// True if all takeovers have one term, as within one step of the time of
+  /// day.
+  bool SameTerm = false;
   std::vector<std::string> Violations;
   Instant Now = instantAt(std::chrono::seconds(100));
 
@@ -112,6 +122,9 @@
   };
   struct DispatcherProcess {
     std::unique_ptr<Dispatcher> Instance;
+    uint16_t Tag = 0;
+    /// Number of restarts. Answers to a former process are dropped.
+    uint32_t Life = 0;
     bool Paused = false;
     bool Busy = false;
   };
