Ignore answers to orders with a former token during a takeover

Cause: a takeover raises its token when another VM turns out to be ahead. A stop that was refused raised it while a poll with the former token was under way. The run list of that poll completed the takeover, although the other owner may have taken the backend server after the list was made, and may have started tasks that are not in it. Besides, each of several orders that were refused together raised the token, which used up the attempts, so that the takeover was given up.

Evidence: dispatch_tests "a run list requested with a former token completes no takeover" and "orders refused with a former token raise the token only once", red before.

Change: a run list counts only if it was requested with the present token; otherwise the poll is sent again. A refusal of an order with a former token says nothing about the present one, so it does not raise it.

--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -275,7 +275,7 @@
                              RunState &Run, Instant Now);
   /// Handles a start that was certainly not carried out: its task is queued
   /// again, or counts as failed if the order was malformed.
-  void handleRejectedStart(BackendState &Backend, const TaskId &Task,
+  void handleRejectedStart(BackendState &Backend, const StartOrder &Order,
                            const RunState &Run, StartAnswerKind Kind,
                            Instant Now);
   /// Releases the resources of a run and returns it.
@@ -317,8 +317,11 @@
   /// Reports a gain or loss of ownership.
   void emitOwnership(const BackendState &Backend, bool Owned,
                      const std::string &Reason);
-  /// Raises the token during a takeover; otherwise gives up ownership.
-  void handleFenced(BackendState &Backend, Instant Now);
+  /// Handles the refusal of an order for its token: raises the token during a
+  /// takeover, otherwise gives up ownership. If the token was raised after the
+  /// order, the refusal says nothing about it.
+  void handleFenced(BackendState &Backend, const ControlTarget &Refused,
+                    Instant Now);
   /// Handles a new incarnation of the backend server.
   void handleRestart(BackendState &Backend, Instant Now);
   /// Starts a takeover of an owned backend server with a higher token, so that
--- a/src/dispatch/internal/dispatcherownership.cpp
+++ b/src/dispatch/internal/dispatcherownership.cpp
@@ -167,7 +167,12 @@
       OwnershipChanged{Backend.Report.Id, Owned, Reason, Backend.assumption()});
 }
 
-void Dispatcher::handleFenced(BackendState &Backend, Instant Now) {
+void Dispatcher::handleFenced(BackendState &Backend,
+                              const ControlTarget &Refused, Instant Now) {
+  if (Refused.FencingToken != Backend.Token) {
+    sendPoll(Backend, Now);
+    return;
+  }
   if (Backend.Mode == OwnershipMode::Acquiring &&
       Backend.TokenRaises < MaxTokenRaises) {
     ++Backend.TokenRaises;
--- a/src/dispatch/internal/dispatcherruns.cpp
+++ b/src/dispatch/internal/dispatcherruns.cpp
@@ -137,12 +137,12 @@
   if (Run.MaybeDelivered || Run.Phase == RunPhase::Stopping) {
     // An earlier copy of this order may have been carried out.
     if (Answer.Kind == StartAnswerKind::Fenced)
-      handleFenced(*Backend, Now);
+      handleFenced(*Backend, Order.Target, Now);
     else
       handleUnresolvedStart(*Backend, Order.Task, Run, Now);
     return;
   }
-  handleRejectedStart(*Backend, Order.Task, Run, Answer.Kind, Now);
+  handleRejectedStart(*Backend, Order, Run, Answer.Kind, Now);
   schedule(Now);
 }
 
@@ -161,9 +161,11 @@
   sendStop(Backend, Task, Run, Now);
 }
 
-void Dispatcher::handleRejectedStart(BackendState &Backend, const TaskId &Task,
+void Dispatcher::handleRejectedStart(BackendState &Backend,
+                                     const StartOrder &Order,
                                      const RunState &Run, StartAnswerKind Kind,
                                      Instant Now) {
+  const TaskId &Task = Order.Task;
   const std::string BackendId = Backend.Report.Id;
   const uint64_t RunNumber = Run.Number;
   removeRun(Backend, Task);
@@ -179,7 +181,7 @@
     return;
   case StartAnswerKind::Fenced:
     requeue(Task, BackendId);
-    handleFenced(Backend, Now);
+    handleFenced(Backend, Order.Target, Now);
     return;
   case StartAnswerKind::WrongBackend:
     requeue(Task, BackendId);
@@ -206,7 +208,7 @@
   if (Backend == nullptr)
     return;
   if (Answer == StopAnswerKind::Fenced) {
-    handleFenced(*Backend, Now);
+    handleFenced(*Backend, Order.Target, Now);
     return;
   }
   const auto RunIt = Backend->Runs.find(Order.Task);
@@ -228,6 +230,11 @@
     recordProbeAnswer(*Backend, Now);
     return;
   }
+  if (Order.Target.FencingToken != Backend->Token) {
+    // Another owner may have taken the backend server since the list was made.
+    sendPoll(*Backend, Now);
+    return;
+  }
   if (List.StartTimeMs && *List.StartTimeMs != Backend->Report.StartTimeMs) {
     Backend->Report.StartTimeMs = *List.StartTimeMs;
     // The numbers of the reports start anew with the incarnation.
@@ -277,7 +284,7 @@
   }
   switch (Failure) {
   case PollFailure::Fenced:
-    handleFenced(*Backend, Now);
+    handleFenced(*Backend, Order.Target, Now);
     return;
   case PollFailure::WrongBackend:
     relinquish(*Backend, "address_reused");
