Issue each fencing token once

Cause: the low bits of a token were the low 16 bits of the control VM's address. Two data centres can share them (10.1.0.35 and 10.4.0.35). Above them was the time of day in steps of 250 ms. So two control VMs that take a backend server within one step, as when one restarts while another one takes over, could have one token: the backend server obeys both, each gets an empty run list, and each counts the room for itself. The same holds for two lives of one process.

Change: a token has a term, a life and an owner tag. The tag is the low 24 bits of the advertised address, mixed with the port, so it differs in one private network and on one address; where two tags are still the same, one of the two VMs takes no backend servers and logs owner_tag_taken (305). The life is counted on disk before the first order. Terms last 30 s, so that a token stays below 2^53 until 2051; a takeover that is refused raises its term in steps that double, which reaches any former owner.

--- a/src/cluster/backenddirectory.h
+++ b/src/cluster/backenddirectory.h
@@ -69,8 +69,10 @@
   /// requires.
   void updateOwnership(const std::string &Id, BackendRecord &Backend,
                        const std::string &PreferredOwner, bool MayAcquire);
-  /// Returns the fencing term of the current time of day.
-  uint64_t currentTerm() const;
+  /// Returns false if another control VM has the same owner tag and takes
+  /// precedence. This VM then must not acquire backend servers, because its
+  /// fencing tokens could equal those of the other one.
+  bool isOwnerTagUnique();
 
   EventLoop &Loop;
   ClusterBus &Bus;
@@ -82,6 +84,8 @@
   std::set<std::string> NewPeers;
   Instant StartTime;
   bool Draining = false;
+  /// True if the last check found another VM with the owner tag of this one.
+  bool OwnerTagTaken = false;
   Timer TickTimer;
   Timer FlushTimer;
 };
--- a/src/cluster/clusterbus.h
+++ b/src/cluster/clusterbus.h
@@ -52,6 +52,8 @@
 
   const MemberView &members() const { return View; }
   const VmId &self() const { return Self; }
+  /// Returns the address under which other VMs reach this one.
+  const Endpoint &address() const { return Settings.AdvertisedPeer; }
   const std::string &dataCentre() const { return Settings.DataCentre; }
   bool isLinked(const std::string &Name) const { return Mesh.reachable(Name); }
   /// Returns the live control VMs that accept work, including this VM if it is
--- a/src/cluster/internal/backenddirectory.cpp
+++ b/src/cluster/internal/backenddirectory.cpp
@@ -1,6 +1,7 @@
 #include "cluster/backenddirectory.h"
 
 #include "discovery/ownership.h"
+#include "dispatch/fencingtoken.h"
 #include "framework/eventlog/eventlog.h"
 
 #include <algorithm>
@@ -43,9 +44,6 @@
 /// or after this VM was fenced by another one.
 constexpr Duration AcquireRetryDelay = std::chrono::seconds(1);
 
-/// Fencing terms count the time of day in steps of this length.
-constexpr int64_t TermLengthMs = 250;
-
 } // namespace
 
 BackendDirectory::BackendDirectory(EventLoop &Loop, ClusterBus &Bus,
@@ -183,11 +181,18 @@
       });
 }
 
-uint64_t BackendDirectory::currentTerm() const {
-  const auto SinceEpoch = std::chrono::system_clock::now().time_since_epoch();
-  const auto Ms =
-      std::chrono::duration_cast<std::chrono::milliseconds>(SinceEpoch);
-  return static_cast<uint64_t>(Ms.count() / TermLengthMs);
+bool BackendDirectory::isOwnerTagUnique() {
+  const std::vector<MemberInfo> Members =
+      Bus.members().members(MemberRole::Control);
+  const auto HolderIt = std::ranges::find_if(Members, [&](const auto &Member) {
+    return takesOwnerTag(Member.PeerEndpoint, Bus.address());
+  });
+  const bool Unique = HolderIt == Members.end();
+  if (!Unique && !OwnerTagTaken)
+    logEvent(events::OwnerTagTaken, {{"peer", HolderIt->Id.Name},
+                                     {"address", describe(Bus.address())}});
+  OwnerTagTaken = !Unique;
+  return Unique;
 }
 
 void BackendDirectory::tick() {
@@ -203,7 +208,8 @@
     remove(Id);
   }
   const std::vector<MemberInfo> ControlVms = Bus.liveControlVms();
-  const bool MayAcquire = !Draining && anyEntryVmReachable();
+  const bool MayAcquire =
+      !Draining && anyEntryVmReachable() && isOwnerTagUnique();
   for (auto &[Id, Backend] : Backends) {
     if (Backend.Report.Id.empty())
       continue;
@@ -246,7 +252,8 @@
   if (RecentlyHeard ||
       JobDispatcher.reachableFor(Id, Now) >= MinReachableTime) {
     Backend.NextAttempt = Now + AcquireRetryDelay;
-    JobDispatcher.acquire(Id, currentTerm(), Now);
+    JobDispatcher.acquire(Id, fencingTermAt(std::chrono::system_clock::now()),
+                          Now);
     return;
   }
   Backend.NextAttempt = Now + ProbeInterval;
--- a/src/cluster/internal/dispatchservice.cpp
+++ b/src/cluster/internal/dispatchservice.cpp
@@ -1,24 +1,16 @@
 #include "cluster/dispatchservice.h"
 
 #include "cluster/jobtext.h"
+#include "cluster/lifenumber.h"
+#include "dispatch/fencingtoken.h"
 #include "framework/eventlog/eventlog.h"
 
-#include <arpa/inet.h>
-
 namespace sapphiremoor {
 
 namespace {
 
 constexpr Duration TickPeriod = std::chrono::milliseconds(50);
 
-/// Returns the low half of the IPv4 address of \p Peer, which differs between
-/// the VMs of a deployment.
-uint16_t ownerTag(const Endpoint &Peer) {
-  in_addr Address{};
-  inet_pton(AF_INET, Peer.Address.c_str(), &Address);
-  return static_cast<uint16_t>(ntohl(Address.s_addr) & 0xffff);
-}
-
 DispatchLimits makeLimits(const ClusterSettings &Settings) {
   DispatchLimits Limits;
   Limits.LeaseDuration =
@@ -45,7 +37,9 @@
                                  Registry &Metrics, Callbacks Handlers)
     : Loop(Loop), Bus(Bus), Orders(std::move(Orders)),
       Handlers(std::move(Handlers)),
-      JobDispatcher(makeLimits(Settings), ownerTag(Settings.Peer)),
+      JobDispatcher(makeLimits(Settings),
+                    {ownerTag(Settings.AdvertisedPeer),
+                     takeLifeNumber(Settings.DataFolder)}),
       TickTimer(Loop, [this] { tick(); }),
       SubmittedJobs(Metrics.counter("sapphiremoor_dispatch_jobs_total",
                                     "Jobs that entry VMs handed over.")),
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -8,6 +8,7 @@
 #include "dispatch/types/dispatcheffect.h"
 #include "dispatch/types/dispatchlimits.h"
 #include "dispatch/types/jobsubmission.h"
+#include "dispatch/types/tokenissuer.h"
 
 #include <cstdint>
 #include <map>
@@ -62,9 +63,8 @@
 /// the effects.
 class Dispatcher {
 public:
-  /// \p OwnerTag forms the low bits of this VM's fencing tokens and must be
-  /// unique among VMs.
-  Dispatcher(const DispatchLimits &Limits, uint16_t OwnerTag);
+  /// No other dispatcher of the deployment may have the same \p Issuer.
+  Dispatcher(const DispatchLimits &Limits, const TokenIssuer &Issuer);
 
   /// Processes a report, which may be relayed by other VMs and arrive late.
   /// Returns true if the backend server is new, has restarted, or has changed
@@ -75,8 +75,7 @@
   void removeBackend(const std::string &Id, Instant Now);
 
   /// Starts a takeover of the backend server with a token of \p Term or above.
-  /// \p Term increases with the wall clock, so that a later owner has a higher
-  /// token.
+  /// \p Term comes from fencingTermAt().
   void acquire(const std::string &Id, uint64_t Term, Instant Now);
   /// Sends a probe to a backend server that this VM does not own, to find out
   /// whether it is reachable. Ownership is not affected.
@@ -341,10 +340,9 @@
   /// Emits a RunDecision for the event log.
   void log(const BackendState &Backend, const TaskId &Task, uint64_t RunNumber,
            const std::string &Decision, Duration Age = {}, int64_t Percent = 0);
-  uint64_t makeToken(uint64_t Term) const;
 
   DispatchLimits Limits;
-  uint16_t OwnerTag;
+  TokenIssuer Issuer;
   uint64_t NextIncarnation = 1;
   uint64_t NextArrivalNumber = 1;
   std::map<std::string, BackendState> Backends;
--- a/src/dispatch/internal/backendstate.h
+++ b/src/dispatch/internal/backendstate.h
@@ -65,7 +65,10 @@
   uint64_t Incarnation = 0;
   OwnershipMode Mode = OwnershipMode::NotOwned;
   uint64_t Token = 0;
+  /// Number of times that the current takeover has raised its token, in all and
+  /// since the last accepted order.
   int TokenRaises = 0;
+  int RaisesInRow = 0;
   BackendClock Clock;
   BackendHealth Health;
   /// All ended runs up to this number have been processed.
--- a/src/dispatch/internal/dispatcherjobs.cpp
+++ b/src/dispatch/internal/dispatcherjobs.cpp
@@ -23,8 +23,8 @@
 
 } // namespace
 
-Dispatcher::Dispatcher(const DispatchLimits &Limits, uint16_t OwnerTag)
-    : Limits(Limits), OwnerTag(OwnerTag) {}
+Dispatcher::Dispatcher(const DispatchLimits &Limits, const TokenIssuer &Issuer)
+    : Limits(Limits), Issuer(Issuer) {}
 
 std::vector<DispatchEffect> Dispatcher::takeEffects() {
   return std::exchange(Effects, {});
--- a/src/dispatch/internal/dispatcherownership.cpp
+++ b/src/dispatch/internal/dispatcherownership.cpp
@@ -1,4 +1,5 @@
 #include "dispatch/dispatcher.h"
+#include "dispatch/fencingtoken.h"
 
 #include <algorithm>
 
@@ -9,14 +10,10 @@
 
 namespace {
 
-/// Number of low bits of a fencing token, below the term, that hold the owner
-/// tag.
-constexpr int OwnerTagBits = 16;
-
-/// Amount by which a fenced owner raises the term of its token. The term of a
-/// former owner may be ahead by as much as the clocks of two VMs differ.
-constexpr uint64_t TermIncrement = 20;
-constexpr int MaxTokenRaises = 6;
+/// Maximum number of times that a takeover raises the term of its token. Each
+/// refusal in a row doubles the step, so that a former owner whose term is far
+/// ahead is overtaken within a few round trips.
+constexpr int MaxTokenRaises = 16;
 
 /// A takeover of a backend server that does not answer is abandoned after this
 /// time. One that succeeded late, after a partition has healed, could fence an
@@ -33,10 +30,6 @@
 
 } // namespace
 
-uint64_t Dispatcher::makeToken(uint64_t Term) const {
-  return (Term << OwnerTagBits) | OwnerTag;
-}
-
 bool Dispatcher::handleReport(const BackendReport &Report, Instant Now) {
   const auto BackendIt = Backends.find(Report.Id);
   if (BackendIt == Backends.end()) {
@@ -85,8 +78,9 @@
     return;
   Backend.Mode = OwnershipMode::Acquiring;
   Backend.AcquireStartedAt = Now;
-  Backend.Token = std::max(Backend.Token, makeToken(Term));
+  Backend.Token = std::max(Backend.Token, makeFencingToken(Issuer, Term));
   Backend.TokenRaises = 0;
+  Backend.RaisesInRow = 0;
   Backend.Suspect = false;
   Backend.Incarnation = NextIncarnation++;
   Backend.PollInFlight = false;
@@ -176,7 +170,8 @@
   if (Backend.Mode == OwnershipMode::Acquiring &&
       Backend.TokenRaises < MaxTokenRaises) {
     ++Backend.TokenRaises;
-    Backend.Token = makeToken((Backend.Token >> OwnerTagBits) + TermIncrement);
+    const uint64_t Step = uint64_t{1} << Backend.RaisesInRow++;
+    Backend.Token = makeFencingToken(Issuer, fencingTerm(Backend.Token) + Step);
     sendPoll(Backend, Now);
     return;
   }
@@ -191,8 +186,9 @@
 void Dispatcher::reacquire(BackendState &Backend, Instant Now) {
   Backend.Mode = OwnershipMode::Acquiring;
   Backend.AcquireStartedAt = Now;
-  Backend.Token = makeToken((Backend.Token >> OwnerTagBits) + 1);
+  Backend.Token = makeFencingToken(Issuer, fencingTerm(Backend.Token) + 1);
   Backend.TokenRaises = 0;
+  Backend.RaisesInRow = 0;
   Backend.Incarnation = NextIncarnation++;
   Backend.LastSeenEnd = 0;
   Backend.UnstoredEnds.clear();
--- a/src/dispatch/internal/dispatcherruns.cpp
+++ b/src/dispatch/internal/dispatcherruns.cpp
@@ -243,6 +243,7 @@
     return;
   }
   Backend->Suspect = false;
+  Backend->RaisesInRow = 0;
   Backend->Clock.observe(List.ClockMs, Now);
   for (const EndedRun &Ended : List.Ended) {
     if (Ended.EndNumber <= Backend->LastSeenEnd)
--- a/src/dispatch/tests/dispatcher_test.cpp
+++ b/src/dispatch/tests/dispatcher_test.cpp
@@ -337,7 +337,7 @@
 // one.
 TEST_CASE(
     "reports with an earlier incarnation or sequence number change nothing") {
-  Dispatcher Owner({}, 1);
+  Dispatcher Owner({}, {1, 0});
   const BackendReport CurrentReport{
       "b0",          5,     2,   "stamp", {"10.0.0.1", 80}, "nitra",
       SmallCapacity, {"a"}, true};
@@ -577,7 +577,7 @@
 // reports start anew with each incarnation.
 TEST_CASE("reports of an incarnation that the run list showed first count") {
   const Instant Now = instantAt(seconds(100));
-  Dispatcher Dispatching({}, 1);
+  Dispatcher Dispatching({}, {1, 0});
   BackendReport Report;
   Report.Id = "b1";
   Report.StartTimeMs = 5;
@@ -638,7 +638,7 @@
 // present one: a token that was ahead of the clock was used for both.
 TEST_CASE("a backend server that is taken again gets a higher token") {
   const Instant Now = instantAt(seconds(100));
-  Dispatcher Dispatching({}, 1);
+  Dispatcher Dispatching({}, {1, 0});
   const BackendReport Report = makeReport("b1", 5, SmallCapacity);
   Dispatching.handleReport(Report, Now);
   Dispatching.acquire("b1", 1000, Now);
@@ -658,7 +658,7 @@
 TEST_CASE("a backend server that was removed and comes back gets a higher "
           "token") {
   const Instant Now = instantAt(seconds(100));
-  Dispatcher Dispatching({}, 1);
+  Dispatcher Dispatching({}, {1, 0});
   const BackendReport Report = makeReport("b1", 5, SmallCapacity);
   const PollOrder First = takeOver(Dispatching, Report, 1000, Now);
   Dispatching.removeBackend("b1", Now);
@@ -670,7 +670,7 @@
 // was completed by a run list that had been requested before.
 TEST_CASE("a run list requested with a former token completes no takeover") {
   Instant Now = instantAt(seconds(100));
-  Dispatcher Dispatching({}, 1);
+  Dispatcher Dispatching({}, {1, 0});
   Dispatching.handleReport(makeReport("b1", 5, SmallCapacity), Now);
   Dispatching.acquire("b1", 1000, Now);
   const auto First = lastEffect<PollOrder>(Dispatching.takeEffects());
@@ -693,7 +693,7 @@
 // orders that were refused together raised the token.
 TEST_CASE("orders refused with a former token raise the token only once") {
   const Instant Now = instantAt(seconds(100));
-  Dispatcher Dispatching({}, 1);
+  Dispatcher Dispatching({}, {1, 0});
   Dispatching.handleReport(makeReport("b1", 5, SmallCapacity), Now);
   Dispatching.acquire("b1", 1000, Now);
   const auto First = lastEffect<PollOrder>(Dispatching.takeEffects());
@@ -717,7 +717,7 @@
 // smaller: a run list showed its new incarnation before its report did.
 TEST_CASE("a new incarnation gets no tasks before its capacity is known") {
   const Instant Now = instantAt(seconds(100));
-  Dispatcher Dispatching({}, 1);
+  Dispatcher Dispatching({}, {1, 0});
   const PollOrder Owned =
       takeOver(Dispatching, makeReport("b1", 5, SmallCapacity), 1000, Now);
   Dispatching.handleRunList(Owned, {10, 6, {}, {}}, Now, Now);
@@ -735,7 +735,7 @@
 // counted as ended with the former incarnation.
 TEST_CASE("a run that the new incarnation has started is not started again") {
   const Instant Now = instantAt(seconds(100));
-  Dispatcher Dispatching({}, 1);
+  Dispatcher Dispatching({}, {1, 0});
   const PollOrder Owned =
       takeOver(Dispatching, makeReport("b1", 5, SmallCapacity), 1000, Now);
   Dispatching.submit(makeSimpleJob("j1", 1, 100), {"entry", 1}, 0, Now);
--- a/src/dispatch/tests/fakebackends.cpp
+++ b/src/dispatch/tests/fakebackends.cpp
@@ -38,7 +38,8 @@
 
 Dispatcher &FakeBackends::addDispatcher(const std::string &Name, uint16_t Tag,
                                         const DispatchLimits &Limits) {
-  Dispatchers[Name].Instance = std::make_unique<Dispatcher>(Limits, Tag);
+  Dispatchers[Name].Instance =
+      std::make_unique<Dispatcher>(Limits, TokenIssuer{Tag, 0});
   Dispatchers[Name].Tag = Tag;
   return dispatcher(Name);
 }
@@ -47,8 +48,8 @@
   DispatcherProcess &Process = Dispatchers.at(Name);
   ++Process.Life;
   Process.Paused = false;
-  Process.Instance =
-      std::make_unique<Dispatcher>(DispatchLimits{}, Process.Tag);
+  Process.Instance = std::make_unique<Dispatcher>(
+      DispatchLimits{}, TokenIssuer{Process.Tag, Process.Life});
 }
 
 void FakeBackends::addBackend(const std::string &Id, const Resources &Capacity,
--- a/src/framework/eventlog/event.h
+++ b/src/framework/eventlog/event.h
@@ -34,6 +34,7 @@
 inline constexpr Event BackendExpired{302, Level::Warning, "backend_expired"};
 inline constexpr Event BackendEjected{303, Level::Warning, "backend_ejected"};
 inline constexpr Event OwnershipChanged{304, Level::Info, "ownership_changed"};
+inline constexpr Event OwnerTagTaken{305, Level::Error, "owner_tag_taken"};
 inline constexpr Event JobDecided{400, Level::Info, "job_decided"};
 inline constexpr Event JobRefused{401, Level::Warning, "job_refused"};
 inline constexpr Event PrefixSealed{402, Level::Warning, "prefix_sealed"};
