Take a backend server with a new token each time

Cause: a control VM that took a backend server again used the token of its former ownership, when that was ahead of its clock (a takeover that had to raise it) or was taken within one term. Its orders without an answer from before were then still obeyed, although the takeover had given their room back and forgotten their tasks. The same after a backend server had been removed and came back: its token was forgotten.

Evidence: dispatch_tests "a backend server that is taken again gets a higher token" and "a backend server that was removed and comes back gets a higher token", red before.

Change: each takeover has a token above all that this process has used there. The token of a removed backend server is kept while orders to it may still be carried out.

--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -185,6 +185,13 @@
     Instant FirstSentAt;
   };
 
+  /// What is kept of a removed backend server while orders to it may still be
+  /// carried out.
+  struct RemovedBackend {
+    uint64_t Token = 0;
+    Instant RemovedAt;
+  };
+
   // Jobs.
   static QueueKey queueKey(const JobState &Job);
   /// Returns true if each step fits some known backend server, whoever owns it.
@@ -311,6 +318,10 @@
   void stopUnknownRuns(BackendState &Backend, const RunList &List, Instant Now);
   /// Allows superseded ends to be acknowledged once the lease has expired.
   void acknowledgeSupersededEnds(BackendState &Backend, Instant Now);
+  /// Returns a token for the next takeover: of \p Term or above, and higher
+  /// than all that this dispatcher has used there, so that orders of a former
+  /// ownership can no longer take effect.
+  uint64_t nextToken(const BackendState &Backend, uint64_t Term) const;
   void recordProbeAnswer(BackendState &Backend, Instant Now);
   void completeAcquire(BackendState &Backend);
   /// Reports a gain or loss of ownership.
@@ -346,6 +357,7 @@
   uint64_t NextIncarnation = 1;
   uint64_t NextArrivalNumber = 1;
   std::map<std::string, BackendState> Backends;
+  std::map<std::string, RemovedBackend> RemovedBackends;
   std::map<std::string, JobState> Jobs;
   std::set<QueueKey> Queue;
   std::map<std::string, Outcome> Outcomes;
--- a/src/dispatch/internal/dispatcherjobs.cpp
+++ b/src/dispatch/internal/dispatcherjobs.cpp
@@ -398,6 +398,9 @@
   std::erase_if(UnresolvedStarts, [&](const auto &Entry) {
     return Now - Entry.second.FirstSentAt > Limits.LateStartWindowEnd;
   });
+  std::erase_if(RemovedBackends, [&](const auto &Entry) {
+    return Now - Entry.second.RemovedAt > Limits.LateStartWindowEnd;
+  });
 }
 
 void Dispatcher::tick(Instant Now) {
--- a/src/dispatch/internal/dispatcherownership.cpp
+++ b/src/dispatch/internal/dispatcherownership.cpp
@@ -30,12 +30,22 @@
 
 } // namespace
 
+uint64_t Dispatcher::nextToken(const BackendState &Backend,
+                               uint64_t Term) const {
+  const uint64_t LowestTerm =
+      Backend.Token == 0 ? 0 : fencingTerm(Backend.Token) + 1;
+  return makeFencingToken(Issuer, std::max(Term, LowestTerm));
+}
+
 bool Dispatcher::handleReport(const BackendReport &Report, Instant Now) {
   const auto BackendIt = Backends.find(Report.Id);
   if (BackendIt == Backends.end()) {
     BackendState NewBackend;
     NewBackend.Report = Report;
     NewBackend.Incarnation = NextIncarnation++;
+    if (const auto It = RemovedBackends.find(Report.Id);
+        It != RemovedBackends.end())
+      NewBackend.Token = It->second.Token;
     Backends.emplace(Report.Id, std::move(NewBackend));
     return true;
   }
@@ -63,6 +73,7 @@
     return;
   }
   dropAllRuns(Backend, LateOrders::Possible);
+  RemovedBackends[Id] = {Backend.Token, Now};
   Backends.erase(BackendIt);
   schedule(Now);
 }
@@ -78,7 +89,7 @@
     return;
   Backend.Mode = OwnershipMode::Acquiring;
   Backend.AcquireStartedAt = Now;
-  Backend.Token = std::max(Backend.Token, makeFencingToken(Issuer, Term));
+  Backend.Token = nextToken(Backend, Term);
   Backend.TokenRaises = 0;
   Backend.RaisesInRow = 0;
   Backend.Suspect = false;
@@ -186,7 +197,7 @@
 void Dispatcher::reacquire(BackendState &Backend, Instant Now) {
   Backend.Mode = OwnershipMode::Acquiring;
   Backend.AcquireStartedAt = Now;
-  Backend.Token = makeFencingToken(Issuer, fencingTerm(Backend.Token) + 1);
+  Backend.Token = nextToken(Backend, 0);
   Backend.TokenRaises = 0;
   Backend.RaisesInRow = 0;
   Backend.Incarnation = NextIncarnation++;
