Place no tasks by the capacity of a former incarnation

Cause: a run list can show a new incarnation before its report arrives. Only the start time was taken from it, so tasks were placed by the capacity and the labels of the former incarnation, which may have been of another kind. The same holds for reports from the disk and from other control VMs.

Change: such a backend server is not used until its report has arrived. A report counts from the incarnation that the list has shown, also where its start time is earlier because the time of day was set back.

What remains: a backend server that comes back smaller within one second while nothing runs there may get tasks before any list or report can show that.

--- a/src/cluster/internal/backenddirectory.cpp
+++ b/src/cluster/internal/backenddirectory.cpp
@@ -68,9 +68,8 @@
 bool BackendDirectory::applyReport(const BackendReport &Report) {
   const auto [It, Inserted] = Backends.try_emplace(Report.Id);
   BackendRecord &Backend = It->second;
-  if (!Inserted && !isOlder(Backend.Report, Report)) {
+  if (!Inserted && !Dispatch.dispatcher().isNewReport(Report))
     return false;
-  }
   Backend.Report = Report;
   Backend.Restored = false;
   Backend.LastHeard = Loop.now();
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -70,6 +70,9 @@
   /// Returns true if the backend server is new, has restarted, or has changed
   /// its address or draining state.
   bool handleReport(const BackendReport &Report, Instant Now);
+  /// Returns true if the report is newer than the last one, and of the
+  /// incarnation that a run list has shown since, or a later one.
+  bool isNewReport(const BackendReport &Report) const;
   /// Removes a backend server that has left or has not reported for too long.
   /// While runs may still be active there, it is only marked as draining.
   void removeBackend(const std::string &Id, Instant Now);
@@ -259,8 +262,8 @@
                   Instant Now);
   BackendState *chooseBackend(const JobState &Job, std::size_t Step,
                               const detail::TaskState &Task, Instant Now);
-  /// Returns true if the backend server is owned, reachable, not leaving and
-  /// not ejected.
+  /// Returns true if the backend server is owned, reachable, known as it is
+  /// now, not leaving and not ejected.
   static bool isUsable(const BackendState &Backend, Instant Now);
   /// Returns true if the backend server can take a task of the step now.
   bool isEligible(const BackendState &Backend, const JobState &Job,
--- a/src/dispatch/internal/backendstate.h
+++ b/src/dispatch/internal/backendstate.h
@@ -62,6 +62,9 @@
 /// State of one controlled backend server.
 struct BackendState {
   BackendReport Report;
+  /// A run list has shown a newer incarnation than the report, so its capacity
+  /// and labels are not known yet.
+  bool ReportOutdated = false;
   uint64_t Incarnation = 0;
   OwnershipMode Mode = OwnershipMode::NotOwned;
   uint64_t Token = 0;
--- a/src/dispatch/internal/dispatcherownership.cpp
+++ b/src/dispatch/internal/dispatcherownership.cpp
@@ -50,18 +50,25 @@
     return true;
   }
   BackendState &Backend = BackendIt->second;
-  if (!isOlder(Backend.Report, Report))
+  if (!isNewReport(Report))
     return false;
   const bool Restarted = Backend.Report.StartTimeMs != Report.StartTimeMs;
   const bool Changed = Restarted ||
                        Backend.Report.Draining != Report.Draining ||
                        Backend.Report.Address != Report.Address;
   Backend.Report = Report;
+  Backend.ReportOutdated = false;
   if (Restarted)
     handleRestart(Backend, Now);
   return Changed;
 }
 
+bool Dispatcher::isNewReport(const BackendReport &Report) const {
+  const auto BackendIt = Backends.find(Report.Id);
+  return BackendIt == Backends.end() ||
+         isOlder(BackendIt->second.Report, Report);
+}
+
 void Dispatcher::removeBackend(const std::string &Id, Instant Now) {
   const auto BackendIt = Backends.find(Id);
   if (BackendIt == Backends.end())
--- a/src/dispatch/internal/dispatcherplacement.cpp
+++ b/src/dispatch/internal/dispatcherplacement.cpp
@@ -37,8 +37,9 @@
 
 bool Dispatcher::isUsable(const BackendState &Backend, Instant Now) {
   return Backend.Mode == OwnershipMode::Owned && !Backend.Suspect &&
-         !Backend.Releasing && !Backend.Report.Draining &&
-         Backend.SupersededEnds.empty() && Now >= Backend.Health.EjectedUntil;
+         !Backend.ReportOutdated && !Backend.Releasing &&
+         !Backend.Report.Draining && Backend.SupersededEnds.empty() &&
+         Now >= Backend.Health.EjectedUntil;
 }
 
 SlotForecast Dispatcher::forecastSlots(const std::string &Service,
--- a/src/dispatch/internal/dispatcherruns.cpp
+++ b/src/dispatch/internal/dispatcherruns.cpp
@@ -239,6 +239,7 @@
     Backend->Report.StartTimeMs = *List.StartTimeMs;
     // The numbers of the reports start anew with the incarnation.
     Backend->Report.Sequence = 0;
+    Backend->ReportOutdated = true;
     handleRestart(*Backend, Now);
     return;
   }
