Keep runs that a new incarnation may have started until they are accounted for

Cause: when a restart of a backend server became known, each run whose start had been answered counted as ended with the former incarnation. But the answer does not tell the incarnation. A backend server that has just started again accepts a start with the former token, and the list that follows shows the restart. So the task was started elsewhere while it ran there.

Change: only runs that a list of the former incarnation has shown end with it. The others stay until the takeover of the new incarnation has an empty list, as unanswered starts do.

--- a/src/dispatch/internal/backendstate.h
+++ b/src/dispatch/internal/backendstate.h
@@ -36,6 +36,9 @@
   Instant FirstSentAt;
   /// Time from which the run is known to be active, if it is known.
   std::optional<Instant> SeenAt;
+  /// A run list has shown the run, so it belongs to that incarnation. The
+  /// answer to a start order does not tell the incarnation.
+  bool Listed = false;
   Instant StopSentAt;
   std::optional<Instant> StopAcceptedAt;
   /// The job no longer needs this run; its outcome is ignored.
--- a/src/dispatch/internal/dispatcherownership.cpp
+++ b/src/dispatch/internal/dispatcherownership.cpp
@@ -216,11 +216,12 @@
 }
 
 void Dispatcher::handleRestart(BackendState &Backend, Instant Now) {
-  // The new incarnation may still carry out an unanswered start. Keep such runs
-  // until a higher token rules that out.
+  // The new incarnation may have carried out a start that no list has shown
+  // yet, or may still carry out an unanswered one. Keep such runs until a
+  // higher token rules that out.
   std::vector<TaskId> EndedTasks;
   for (const auto &[Task, Run] : Backend.Runs)
-    if (Run.Phase != RunPhase::Starting && !Run.MaybeDelivered)
+    if (Run.Listed && !Run.MaybeDelivered)
       EndedTasks.push_back(Task);
   for (const TaskId &Task : EndedTasks)
     dropRun(Backend, Task, LateOrders::Excluded);
--- a/src/dispatch/internal/dispatcherruns.cpp
+++ b/src/dispatch/internal/dispatcherruns.cpp
@@ -386,6 +386,7 @@
     if (RunIt == Backend.Runs.end() || RunIt->second.Number != Active.RunNumber)
       continue;
     ListedTasks.insert(Active.Task);
+    RunIt->second.Listed = true;
     if (RunIt->second.Phase == RunPhase::Starting)
       RunIt->second.Phase = RunPhase::Active;
     if (!RunIt->second.SeenAt)
