Count fencing terms in seconds

Cause: terms of 30 s order owners by their tags within a term. A backend server that has started again knows no former owner, so it would obey a former owner with a higher tag beside the present one.

Change: terms are seconds again in order of time, as takeovers follow each other by more than that. The bits come from the owner tag, which has 20: it still differs in one data centre, between data centres whose addresses differ in the second byte only, and on one address. Where it does not, one of the two VMs takes no backend servers, as before.

--- a/src/dispatch/fencingtoken.h
+++ b/src/dispatch/fencingtoken.h
@@ -15,19 +15,21 @@
 /// the same token, and one process never issues a token twice for one backend
 /// server.
 ///
-/// A token stays below 2^53 until 2051, so that a JSON number holds it exactly.
+/// A token stays below 2^53 until 2042, so that a JSON number holds it exactly.
 uint64_t makeFencingToken(const TokenIssuer &Issuer, uint64_t Term);
 
 /// Returns the term of a token.
 uint64_t fencingTerm(uint64_t Token);
 
-/// Returns the first term for a takeover at \p TimeOfDay. It rises with time,
-/// so that few takeovers have to raise their term above that of a former owner.
+/// Returns the first term for a takeover at \p TimeOfDay. Terms are seconds, so
+/// that a later owner has a higher token also where the backend server has
+/// started again and knows no former one.
 uint64_t fencingTermAt(std::chrono::system_clock::time_point TimeOfDay);
 
-/// Returns the owner tag of the control VM with \p Address. Tags differ between
-/// VMs whose addresses agree in the first byte and in the port, as in one
-/// private network, and between VMs that share the address.
+/// Returns the owner tag of the control VM with \p Address. With one port, tags
+/// differ between VMs of one data centre, and between VMs whose addresses
+/// differ in the second byte only. They also differ between VMs that share an
+/// address. takesOwnerTag() covers the other cases.
 uint32_t ownerTag(const Endpoint &Address);
 
 /// Returns true if the VMs with these addresses have one owner tag and \p Other
--- a/src/dispatch/internal/fencingtoken.cpp
+++ b/src/dispatch/internal/fencingtoken.cpp
@@ -6,18 +6,19 @@
 
 namespace {
 
-constexpr int OwnerTagBits = 24;
+constexpr int OwnerTagBits = 20;
 constexpr int LifeBits = 4;
 constexpr int BitsBelowTerm = OwnerTagBits + LifeBits;
 constexpr int PortBits = 16;
+constexpr int ByteBits = 8;
 
 constexpr uint32_t lowBits(int Count) { return (1U << Count) - 1; }
 
-constexpr std::chrono::seconds TermLength{30};
+constexpr std::chrono::seconds TermLength{1};
 
 /// Time of day at which the terms start.
 constexpr std::chrono::sys_days FirstTermStart = std::chrono::year_month_day(
-    std::chrono::year(2020), std::chrono::January, std::chrono::day(1));
+    std::chrono::year(2025), std::chrono::January, std::chrono::day(1));
 
 uint32_t reverseBits(uint16_t Value) {
   uint32_t Reversed = 0;
@@ -45,11 +46,15 @@
 uint32_t ownerTag(const Endpoint &Address) {
   in_addr Parsed{};
   inet_pton(AF_INET, Address.Address.c_str(), &Parsed);
-  // The reversed port changes the high bits first, and the addresses of a
-  // network differ in the low bits, so the two do not cancel each other out.
-  return (ntohl(Parsed.s_addr) ^ reverseBits(Address.Port)
-                                     << (OwnerTagBits - PortBits)) &
-         lowBits(OwnerTagBits);
+  const uint32_t Host = ntohl(Parsed.s_addr) & lowBits(3 * ByteBits);
+  // The bits above a tag are added to the third byte, so that VMs of two data
+  // centres whose addresses differ in the second byte only have different tags.
+  // The reversed port changes the high bits first, and the addresses of one
+  // data centre differ in the low bits, so the two do not cancel each other
+  // out.
+  const uint32_t Mixed = Host ^ Host >> OwnerTagBits << ByteBits ^
+                         reverseBits(Address.Port) << (OwnerTagBits - PortBits);
+  return Mixed & lowBits(OwnerTagBits);
 }
 
 bool takesOwnerTag(const Endpoint &Other, const Endpoint &Self) {
--- a/src/dispatch/types/tokenissuer.h
+++ b/src/dispatch/types/tokenissuer.h
@@ -8,7 +8,7 @@
 
 /// Identifies a process that issues fencing tokens.
 struct TokenIssuer {
-  /// Unique among the control VMs of a deployment; 24 bits.
+  /// Unique among the control VMs of a deployment; 20 bits.
   uint32_t OwnerTag = 0;
   /// Number of the process among those of its VM. Only the lowest four bits
   /// enter a token, because orders of a former process are carried out within
