Place tasks after a pause only once a run list has come

What callers saw: nothing that is traced; tasks beside those of another owner are possible after a control VM was paused.

Cause: after a pause, a control VM gave up its jobs but went on placing new ones by what it had known before. The token refuses that, unless the backend server has started again meanwhile and knows no token: then it obeys the paused VM beside the new owner.

Change: after a pause, no task is placed on a backend server before a run list that was requested after it; dispatch_tests "a run list from before a pause does not show who owns a backend server".

--- a/src/cluster/dispatchservice.h
+++ b/src/cluster/dispatchservice.h
@@ -53,8 +53,10 @@
   void queryPending(const VmId &Sender, const PendingJobsQuery &Message);
   void handlePeerUp(const VmId &Peer);
   void handlePeerDown(const VmId &Peer);
-  /// Abandons all jobs that entry VMs have submitted.
-  void abandonAllJobs();
+  /// Called after a pause of this process: abandons all jobs that entry VMs
+  /// have submitted, and places tasks on a backend server after its next run
+  /// list only.
+  void handleStall();
   void updatePeerLoad(const ClusterHeartbeat &Message);
 
   /// Sends the answer to a request for a job.
--- a/src/cluster/internal/controlnode.cpp
+++ b/src/cluster/internal/controlnode.cpp
@@ -74,7 +74,7 @@
            {{"open_jobs", std::to_string(Dispatch.dispatcher().openJobs())}});
   // Entry VMs have answered their callers meanwhile, and the callers may have
   // sent the jobs elsewhere. No task of these jobs may be started any more.
-  Dispatch.abandonAllJobs();
+  Dispatch.handleStall();
   JobStore.handleStall();
   Bus.dropLinks();
 }
--- a/src/cluster/internal/dispatchservice.cpp
+++ b/src/cluster/internal/dispatchservice.cpp
@@ -126,7 +126,8 @@
   JobDispatcher.updatePeerLoad(Peer.Name, std::nullopt);
 }
 
-void DispatchService::abandonAllJobs() {
+void DispatchService::handleStall() {
+  JobDispatcher.distrustBackends(Loop.now());
   for (const auto &[Vm, Incarnation] : Incarnations)
     JobDispatcher.dropSource(Vm, Loop.now());
   run();
--- a/src/cluster/tests/dispatchservice_test.cpp
+++ b/src/cluster/tests/dispatchservice_test.cpp
@@ -4,7 +4,9 @@
 
 #include <doctest/doctest.h>
 
+#include <functional>
 #include <set>
+#include <utility>
 
 using namespace sapphiremoor;
 using sapphiremoor::testing::TemporaryFolder;
@@ -19,23 +21,42 @@
       : Settings(makeSettings(Name, Address, DataFolder)),
         Bus(Loop, Settings, {Name, 1}, {}),
         Service(Loop, Settings, Bus,
-                {[](const StartOrder &, const auto &) {},
+                {[this](const StartOrder &, const auto &) { ++Starts; },
                  [](const StopOrder &, const auto &) {},
-                 [this](const PollOrder &Order, const auto &) {
+                 [this](const PollOrder &Order, const auto &Handler) {
                    LastToken = Order.Target.FencingToken;
+                   AnswerPoll = Handler;
                  }},
-                Metrics, {}) {}
+                Metrics, {[](const OwnershipChanged &) {}, [] {}, {}}) {}
 
   /// Starts a takeover of a backend server and returns its token.
   uint64_t takeOver(uint64_t Term) {
     BackendReport Report;
     Report.Id = "b1";
+    Report.Capacity = {4000, 1000, 0};
     Service.dispatcher().handleReport(Report, Loop.now());
     Service.dispatcher().acquire("b1", Term, Loop.now());
     Service.run();
     return LastToken;
   }
 
+  /// Answers the last poll: nothing runs on the backend server.
+  void answerPoll() { std::exchange(AnswerPoll, {})(RunList{}); }
+
+  /// Submits a job with one task. Returns the number of start orders so far.
+  std::size_t submit(const std::string &Id) {
+    JobSubmission Job;
+    Job.Id = Id;
+    Job.DeadlineMs = 5000;
+    Job.Policy.SlackMs = 5000;
+    Job.Steps.emplace_back();
+    Job.Steps.back().EstimateMs = 100;
+    Service.submit({"e1", 1}, {1, 0, false, Job});
+    return Starts;
+  }
+
+  DispatchService &service() { return Service; }
+
 private:
   static ClusterSettings makeSettings(const std::string &Name,
                                       const Endpoint &Address,
@@ -51,6 +72,8 @@
   }
 
   uint64_t LastToken = 0;
+  std::size_t Starts = 0;
+  std::function<void(PollAnswer)> AnswerPoll;
   EventLoop Loop;
   Registry Metrics;
   ClusterSettings Settings;
@@ -102,3 +125,15 @@
   }
   CHECK(Tokens.size() == 10);
 }
+
+// Guards against tasks beside those of another owner: a control VM that had
+// been paused placed tasks by what it had known before the pause.
+TEST_CASE("a paused control VM places tasks after a new run list only") {
+  const TemporaryFolder Folder;
+  RecordingVm Vm("c1", {"10.1.0.35", 9000}, Folder.Path + "/c1");
+  Vm.takeOver(Term);
+  Vm.answerPoll();
+  REQUIRE(Vm.submit("j1") == 1);
+  Vm.service().handleStall();
+  CHECK(Vm.submit("j2") == 1);
+}
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -88,6 +88,9 @@
   Duration reachableFor(const std::string &Id, Instant Now) const;
   /// Places no further tasks there and gives up ownership once no run is left.
   void release(const std::string &Id, Instant Now);
+  /// Places no tasks on any backend server until its next run list, because
+  /// this process was paused and another VM may own the backend server now.
+  void distrustBackends(Instant Now);
   bool owns(const std::string &Id) const;
   std::vector<std::string> ownedBackends() const;
   /// Returns true if runs of this VM may still be active on the backend server.
--- a/src/dispatch/internal/backendstate.h
+++ b/src/dispatch/internal/backendstate.h
@@ -92,6 +92,8 @@
   /// The last order was not answered or was rejected for an unclear reason; no
   /// task is placed until a poll succeeds.
   bool Suspect = false;
+  /// Run lists that were requested before this time do not end the suspicion.
+  Instant SuspectedAt;
   bool PollInFlight = false;
   Instant PollSentAt;
   /// Time from which probes have been answered without a gap, and time of the
--- a/src/dispatch/internal/dispatcherownership.cpp
+++ b/src/dispatch/internal/dispatcherownership.cpp
@@ -141,6 +141,16 @@
     relinquish(BackendIt->second, "released");
 }
 
+void Dispatcher::distrustBackends(Instant Now) {
+  for (auto &[Id, Backend] : Backends) {
+    if (Backend.Mode != OwnershipMode::Owned)
+      continue;
+    Backend.Suspect = true;
+    Backend.SuspectedAt = Now;
+    Backend.NextPollAt = Now;
+  }
+}
+
 bool Dispatcher::owns(const std::string &Id) const {
   const auto BackendIt = Backends.find(Id);
   return BackendIt != Backends.end() &&
--- a/src/dispatch/internal/dispatcherruns.cpp
+++ b/src/dispatch/internal/dispatcherruns.cpp
@@ -243,7 +243,7 @@
     handleRestart(*Backend, Now);
     return;
   }
-  Backend->Suspect = false;
+  Backend->Suspect = SentAt < Backend->SuspectedAt;
   Backend->RaisesInRow = 0;
   Backend->Clock.observe(List.ClockMs, Now);
   for (const EndedRun &Ended : List.Ended) {
@@ -268,7 +268,8 @@
   // at an interval.
   if (!Backend->UnstoredEnds.empty())
     Backend->NextPollAt = Now + Limits.TakeoverPollInterval;
-  else if (Backend->Mode == OwnershipMode::Owned && !Backend->Runs.empty())
+  else if (Backend->Mode == OwnershipMode::Owned &&
+           (Backend->Suspect || !Backend->Runs.empty()))
     sendPoll(*Backend, Now);
 }
 
--- a/src/dispatch/tests/dispatcher_test.cpp
+++ b/src/dispatch/tests/dispatcher_test.cpp
@@ -827,3 +827,29 @@
       FAIL_CHECK(Violation);
   }
 }
+
+// Guards against tasks beside those of another owner: a run list that had
+// waited during a pause of the control VM counted as one of now.
+TEST_CASE("a run list from before a pause does not show who owns a backend "
+          "server") {
+  Instant Now = instantAt(seconds(100));
+  Dispatcher Dispatching({}, {1, 0});
+  takeOver(Dispatching, makeReport("b1", 5, SmallCapacity), 1000, Now);
+  Dispatching.submit(makeSimpleJob("j1", 1, 3000), {"entry", 1}, 0, Now);
+  const auto Starts = takeStarts(Dispatching);
+  REQUIRE(Starts.size() == 1);
+  Dispatching.handleStartAnswer(Starts.front(),
+                                {StartAnswerKind::Started, 1000}, Now);
+  const auto Earlier = lastEffect<PollOrder>(Dispatching.takeEffects());
+  const Instant EarlierSentAt = Now;
+  Now += seconds(1);
+  Dispatching.distrustBackends(Now);
+  const RunList List{1100, 5, {{{"j1", 0, 0}, 1, 10}}, {}};
+  Dispatching.handleRunList(Earlier, List, EarlierSentAt, Now);
+  const auto Later = lastEffect<PollOrder>(Dispatching.takeEffects());
+  Dispatching.submit(makeSimpleJob("j2", 1, 100), {"entry", 2}, 0, Now);
+  CHECK(takeStarts(Dispatching).empty());
+  Dispatching.handleRunList(Later, List, Now, Now);
+  Dispatching.submit(makeSimpleJob("j3", 1, 100), {"entry", 3}, 0, Now);
+  CHECK(takeStarts(Dispatching).size() == 1);
+}
