Report a request as not written only if no byte of it was written

What callers saw: a backend server over its capacity, and a second run of a task (LIMIT and TWICE).

Cause: when evhttp had written a request, the client asked whether the socket is connected, and counted the bytes as written only then. The backend server may read the order, carry it out and reset the connection before that check. The order was then reported as not written, so its task was started elsewhere and its room was given back while it ran. The slower the VM, the wider the gap between the write and the check.

Change: bytes that leave the buffer while the socket is open count as written. evhttp closes it before it drops what it has not written.

--- a/src/framework/net/httpcall.h
+++ b/src/framework/net/httpcall.h
@@ -76,6 +76,8 @@
   static void onResponse(evhttp_request *Request, void *Self);
   static void onOutput(evbuffer *Buffer, const evbuffer_cb_info *Info,
                        void *Self);
+  /// Returns the socket, or -1 if it is closed.
+  int socket() const;
   bool connected() const;
   void onTimer();
   /// Reports the request as failed and makes sure that no further byte of it is
--- a/src/framework/net/internal/httpcall.cpp
+++ b/src/framework/net/internal/httpcall.cpp
@@ -85,21 +85,25 @@
     finish(failureResult());
 }
 
+int HttpConnection::socket() const {
+  return bufferevent_getfd(evhttp_connection_get_bufferevent(Connection));
+}
+
 bool HttpConnection::connected() const {
   sockaddr_storage PeerAddress{};
   socklen_t Size = sizeof(PeerAddress);
-  const int Fd =
-      bufferevent_getfd(evhttp_connection_get_bufferevent(Connection));
-  return Fd >= 0 && getpeername(Fd, reinterpret_cast<sockaddr *>(&PeerAddress),
-                                &Size) == 0;
+  return socket() >= 0 &&
+         getpeername(socket(), reinterpret_cast<sockaddr *>(&PeerAddress),
+                     &Size) == 0;
 }
 
 void HttpConnection::onOutput(evbuffer *, const evbuffer_cb_info *Info,
                               void *Self) {
   auto &Owner = *static_cast<HttpConnection *>(Self);
-  // evhttp also drains the buffer when it resets a connection that was never
-  // established; those bytes were never written to the socket.
-  if (Info->n_deleted > 0 && !Owner.AnyByteWritten && Owner.connected())
+  // evhttp also drains the buffer of a connection that it has closed; those
+  // bytes were never written. Whether the socket is still connected says
+  // nothing, since the server may read the bytes and reset it at once.
+  if (Info->n_deleted > 0 && Owner.socket() >= 0)
     Owner.AnyByteWritten = true;
 }
 
--- a/src/framework/net/tests/backendclient_test.cpp
+++ b/src/framework/net/tests/backendclient_test.cpp
@@ -4,10 +4,12 @@
 #include <doctest/doctest.h>
 
 #include <arpa/inet.h>
+#include <fcntl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include <algorithm>
+#include <atomic>
 #include <optional>
 #include <string>
 #include <thread>
@@ -58,6 +60,47 @@
 
 constexpr Duration LongTimeout = std::chrono::seconds(30);
 
+/// Accepts connections and resets each one as soon as a byte has arrived. The
+/// thread polls without a pause, so that the reset follows the byte at once.
+class ResettingServer {
+public:
+  ResettingServer() : Listener(boundSocket(Port)) {
+    REQUIRE(listen(Listener, 16) == 0);
+    fcntl(Listener, F_SETFL, O_NONBLOCK);
+    Worker = std::thread([this] { serve(); });
+  }
+  ~ResettingServer() {
+    Stopping = true;
+    Worker.join();
+    close(Listener);
+  }
+  ResettingServer(const ResettingServer &) = delete;
+  ResettingServer &operator=(const ResettingServer &) = delete;
+
+  uint16_t port() const { return Port; }
+
+private:
+  void serve() {
+    while (!Stopping)
+      if (const int Fd = accept(Listener, nullptr, nullptr); Fd >= 0)
+        resetAfterFirstByte(Fd);
+  }
+
+  void resetAfterFirstByte(int Fd) {
+    char Byte = 0;
+    while (!Stopping && recv(Fd, &Byte, 1, MSG_DONTWAIT) < 0)
+      ;
+    const linger Reset{1, 0};
+    setsockopt(Fd, SOL_SOCKET, SO_LINGER, &Reset, sizeof(Reset));
+    close(Fd);
+  }
+
+  uint16_t Port = 0;
+  int Listener;
+  std::atomic<bool> Stopping = false;
+  std::thread Worker;
+};
+
 } // namespace
 
 TEST_CASE("a refused connection is reported as not written") {
@@ -143,3 +186,19 @@
   CHECK(Paths == std::vector<std::string>{"/first"});
   std::ranges::for_each(Sockets, close);
 }
+
+// Guards against an order that is reported as not written although the server
+// has read it: the connection was reset between the write and the check whether
+// it is connected.
+TEST_CASE("a request that the server has read is never reported as not "
+          "written") {
+  EventLoop Loop;
+  const ResettingServer Server;
+  BackendClient Client(Loop, {});
+  int NotWritten = 0;
+  for (int Request = 0; Request < 2000; ++Request)
+    if (callAndWait(Loop, Client, Server.port(), "/run/x", LongTimeout)
+            .Status == HttpCallStatus::NotWritten)
+      ++NotWritten;
+  CHECK(NotWritten == 0);
+}
