--- a/src/dispatch/internal/fencingtoken.cpp
+++ b/src/dispatch/internal/fencingtoken.cpp
@@ -20,7 +20,7 @@
 constexpr std::chrono::sys_days FirstTermStart = std::chrono::year_month_day(
     std::chrono::year(2025), std::chrono::January, std::chrono::day(1));
 
-uint32_t reverseBits(uint16_t Value) {
+uint32_t reverseBits(uint32_t Value) {
   uint32_t Reversed = 0;
   for (int Bit = 0; Bit < PortBits; ++Bit)
     Reversed |= ((Value >> Bit) & 1U) << (PortBits - 1 - Bit);
