--- a/review/kit-2/net.h
+++ b/review/kit-2/net.h
@@ -229,6 +229,12 @@
   }
 
   bool bound() const { return Bound; }
+  /// Stops listening; open connections end with their next request.
+  void stop() {
+    Stopped = true;
+    shutdown(Fd, SHUT_RDWR);
+    close(Fd);
+  }
 
 private:
   void accept() {
@@ -252,7 +258,7 @@
       const Answer Reply = OnRequest(
           Request.FirstLine.substr(0, First),
           Request.FirstLine.substr(First + 1, Second - First - 1), Request);
-      if (Reply.Status == 0)
+      if (Reply.Status == 0 || Stopped)
         break;
       if (!sendAll(Connection,
                    "HTTP/1.1 " + std::to_string(Reply.Status) +
@@ -268,6 +274,7 @@
   Handler OnRequest;
   int Fd = -1;
   bool Bound = false;
+  std::atomic<bool> Stopped{false};
 };
 
 } // namespace kit
--- a/review/kit-2/worker.h
+++ b/review/kit-2/worker.h
@@ -52,6 +52,17 @@
   }
 
   bool bound() const { return Http.bound(); }
+  /// Starts a planned end: says that it drains, serves on for \p DrainMs after
+  /// the confirmation, leaves and ends.
+  void drain(int64_t DrainMs) {
+    const std::lock_guard Lock(Mutex);
+    DrainFor = DrainMs;
+    Changed.notify_all();
+  }
+  bool gone() {
+    const std::lock_guard Lock(Mutex);
+    return Gone;
+  }
   std::size_t activeRuns() {
     const std::lock_guard Lock(Mutex);
     return Runs.size();
@@ -116,6 +127,8 @@
         It != Request.Headers.end() && It->second != Settings.Id)
       return reply(421, nlohmann::json::object());
     std::unique_lock Lock(Mutex);
+    if (Gone)
+      return {};
     const uint64_t Token = Body.value("fencing_token", uint64_t{0});
     if (Token < HighestToken)
       return refuse("fence");
@@ -249,13 +262,14 @@
   void beat() {
     std::size_t Index = std::hash<std::string>{}(Settings.Id);
     for (uint64_t Sequence = 1;; ++Sequence) {
+      const bool Draining = isDraining();
       const nlohmann::json Body = {
           {"service", Settings.Service},
           {"address", Settings.Local.text()},
           {"zone", Settings.Zone},
           {"version", "v1"},
           {"slots", 8},
-          {"state", "ready"},
+          {"state", Draining ? "draining" : "ready"},
           {"cold_remaining_ms", 0},
           {"capacity",
            {{"cpu", Settings.MilliCores},
@@ -270,14 +284,39 @@
         const Answer Reply =
             To.call("POST", "/api/instances/" + Settings.Id + "/heartbeat",
                     "control", Body.dump(), 1000);
-        if (Reply.Status / 100 == 2)
+        if (Reply.Status / 100 == 2) {
+          if (Draining) {
+            leave(Controls[Index % Controls.size()]);
+            return;
+          }
           break;
+        }
         ++Index;
       }
-      sleepMs(Settings.BeatMs);
+      std::unique_lock Lock(Mutex);
+      const auto Pause = std::chrono::milliseconds(Settings.BeatMs);
+      Changed.wait_for(Lock, Pause, [&] { return DrainFor > 0 && !Draining; });
     }
   }
 
+  bool isDraining() {
+    const std::lock_guard Lock(Mutex);
+    return DrainFor > 0;
+  }
+
+  void leave(const Address &Control) {
+    Log.line(Settings.Id + " drains, confirmed by " + Control.text());
+    sleepMs(DrainFor + 500);
+    Client To(Control);
+    To.call("POST", "/api/instances/" + Settings.Id + "/deregister", "control",
+            "{}", 1000);
+    Http.stop();
+    const std::lock_guard Lock(Mutex);
+    Runs.clear();
+    Gone = true;
+    Log.line(Settings.Id + " has left");
+  }
+
   WorkerOptions Settings;
   std::vector<Address> Controls;
   Planner Plan;
@@ -294,6 +333,8 @@
   uint64_t AckCursor = 0;
   uint64_t HighestToken = 0;
   int64_t LeaseUntil = 0;
+  int64_t DrainFor = 0;
+  bool Gone = false;
   Server Http;
 };
 
