--- a/review/10/case.cpp
+++ b/review/10/case.cpp
@@ -1,4 +1,5 @@
-// A control machine is stopped in turn while tasks fail once by their own fault.
+// A control machine is stopped in turn while tasks fail once by their own
+// fault.
 #include "../kit-2/deployment.h"
 
 using namespace kit;
@@ -57,10 +58,8 @@
     return NotRun;
   sleepMs(4000);
 
-  const nlohmann::json Step = {{"count", 1},
-                               {"cpu", 9000},
-                               {"mem_mb", 64},
-                               {"estimate_ms", FirstRunMs}};
+  const nlohmann::json Step = {
+      {"count", 1}, {"cpu", 9000}, {"mem_mb", 64}, {"estimate_ms", FirstRunMs}};
   nlohmann::json Job;
   Job["spec"] = "quote";
   Job["steps"] = nlohmann::json::array({Step});
--- a/review/kit-2/deployment.h
+++ b/review/kit-2/deployment.h
@@ -48,7 +48,9 @@
     return Network + std::to_string(Zone) + "." + std::to_string(Host);
   }
 
-  void add(const NodeOptions &Options) { Nodes[Options.Name].Options = Options; }
+  void add(const NodeOptions &Options) {
+    Nodes[Options.Name].Options = Options;
+  }
 
   std::vector<Address> controls() const {
     std::vector<Address> Result;
@@ -72,12 +74,13 @@
       prctl(PR_SET_PDEATHSIG, SIGKILL);
       const std::string Boot = settingsPath(Name);
       const std::string LogPath = Folder + "/" + Name + ".log";
-      const int Out = open(LogPath.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+      const int Out =
+          open(LogPath.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
       dup2(Out, 1);
       dup2(Out, 2);
       setenv("SAPPHIREMOOR_BOOT", Boot.c_str(), 1);
-      execl("target/src/app/sapphiremoor", "target/src/app/sapphiremoor", "node",
-            nullptr);
+      execl("target/src/app/sapphiremoor", "target/src/app/sapphiremoor",
+            "node", nullptr);
       _exit(127);
     }
     Log.line("platform starts " + Name);
@@ -119,8 +122,8 @@
     const std::vector<Address> Targets = controls();
     for (std::size_t Index = 0; nowMs() < Deadline; ++Index) {
       Client To(Targets[Index % Targets.size()]);
-      const Answer Reply = To.call("POST", "/api/config/put", "control",
-                                   Config.dump(), 1000);
+      const Answer Reply =
+          To.call("POST", "/api/config/put", "control", Config.dump(), 1000);
       Log.line("config " + Config.at("version").dump() + " answered " +
                std::to_string(Reply.Status));
       if (Reply.Status == 200)
@@ -172,19 +175,18 @@
     for (const Address &Control : controls())
       if (Seeds.size() < 3)
         Seeds.push_back(Control.text());
-    nlohmann::json Root = {
-        {"name", Options.Name},
-        {"data_centre", Options.Zone},
-        {"role", Options.Control ? "control" : "entry"},
-        {"peer", Address{Options.Ip, PeerPort}.text()},
-        {"seeds", Seeds},
-        {"seed_port", PeerPort},
-        {"metrics", Address{Options.Ip, 9464}.text()},
-        {"first_start", First},
-        {"tolerated_losses", 1},
-        {"stop_limit_s", 6},
-        {"longest_lease_ms", 1000},
-        {"trusted_network", true}};
+    nlohmann::json Root = {{"name", Options.Name},
+                           {"data_centre", Options.Zone},
+                           {"role", Options.Control ? "control" : "entry"},
+                           {"peer", Address{Options.Ip, PeerPort}.text()},
+                           {"seeds", Seeds},
+                           {"seed_port", PeerPort},
+                           {"metrics", Address{Options.Ip, 9464}.text()},
+                           {"first_start", First},
+                           {"tolerated_losses", 1},
+                           {"stop_limit_s", 6},
+                           {"longest_lease_ms", 1000},
+                           {"trusted_network", true}};
     if (Options.Control) {
       Root["control"] = Address{Options.Ip, ControlPort}.text();
       Root["data_folder"] = Folder + "/" + Options.Name + ".data";
@@ -205,19 +207,18 @@
                             const std::string &Prefix,
                             const std::string &Service, int Attempts,
                             int64_t SloMs) {
-  return {{"name", Name},         {"host", Host},
-          {"path_prefix", Prefix}, {"kind", "unsafe"},
-          {"timeout_ms", 1500},   {"slo_ms", SloMs},
-          {"priority", 0},        {"service", Service},
-          {"attempts", Attempts}, {"stretch", 1.6}};
+  return {{"name", Name},     {"host", Host},       {"path_prefix", Prefix},
+          {"kind", "unsafe"}, {"timeout_ms", 1500}, {"slo_ms", SloMs},
+          {"priority", 0},    {"service", Service}, {"attempts", Attempts},
+          {"stretch", 1.6}};
 }
 
 inline nlohmann::json config(uint64_t Version, const std::string &Service,
                              const nlohmann::json &Routes) {
   const nlohmann::json ServiceEntry = {
-      {"name", Service},           {"health_path", "/health"},
-      {"max_conns", 64},           {"protocol", "h1"},
-      {"tls", false},              {"rejects_overload", false},
+      {"name", Service}, {"health_path", "/health"},
+      {"max_conns", 64}, {"protocol", "h1"},
+      {"tls", false},    {"rejects_overload", false},
       {"standby", false}};
   return {{"version", Version},
           {"routes", Routes},
--- a/review/kit-2/net.h
+++ b/review/kit-2/net.h
@@ -2,9 +2,9 @@
 #define REVIEW_KIT2_NET_H
 
 #include <arpa/inet.h>
+#include <fcntl.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
-#include <fcntl.h>
 #include <poll.h>
 #include <strings.h>
 #include <sys/socket.h>
@@ -211,9 +211,9 @@
 /// HTTP server with one thread for each connection.
 class Server {
 public:
-  using Handler = std::function<Answer(const std::string &Method,
-                                       const std::string &Path,
-                                       const Message &Request)>;
+  using Handler =
+      std::function<Answer(const std::string &Method, const std::string &Path,
+                           const Message &Request)>;
 
   Server(const Address &Local, Handler OnRequest)
       : OnRequest(std::move(OnRequest)) {
@@ -221,9 +221,9 @@
     const int Enable = 1;
     setsockopt(Fd, SOL_SOCKET, SO_REUSEADDR, &Enable, sizeof(Enable));
     const sockaddr_in To = socketAddress(Local);
-    Bound = bind(Fd, reinterpret_cast<const sockaddr *>(&To), sizeof(To)) ==
-                0 &&
-            listen(Fd, 128) == 0;
+    Bound =
+        bind(Fd, reinterpret_cast<const sockaddr *>(&To), sizeof(To)) == 0 &&
+        listen(Fd, 128) == 0;
     if (Bound)
       std::thread([this] { accept(); }).detach();
   }
@@ -243,8 +243,7 @@
       if (Connection < 0)
         return;
       const int Enable = 1;
-      setsockopt(Connection, IPPROTO_TCP, TCP_NODELAY, &Enable,
-                 sizeof(Enable));
+      setsockopt(Connection, IPPROTO_TCP, TCP_NODELAY, &Enable, sizeof(Enable));
       std::thread([this, Connection] { serve(Connection); }).detach();
     }
   }
@@ -260,12 +259,11 @@
           Request.FirstLine.substr(First + 1, Second - First - 1), Request);
       if (Reply.Status == 0 || Stopped)
         break;
-      if (!sendAll(Connection,
-                   "HTTP/1.1 " + std::to_string(Reply.Status) +
-                       " X\r\nContent-Type: application/json\r\n"
-                       "Content-Length: " +
-                       std::to_string(Reply.Body.size()) + "\r\n\r\n" +
-                       Reply.Body))
+      if (!sendAll(Connection, "HTTP/1.1 " + std::to_string(Reply.Status) +
+                                   " X\r\nContent-Type: application/json\r\n"
+                                   "Content-Length: " +
+                                   std::to_string(Reply.Body.size()) +
+                                   "\r\n\r\n" + Reply.Body))
         break;
     }
     close(Connection);
--- a/review/kit-2/worker.h
+++ b/review/kit-2/worker.h
@@ -202,9 +202,9 @@
                        [this] { return !Ends.empty(); });
     nlohmann::json Running = nlohmann::json::array();
     for (const auto &[Task, Run] : Runs) {
-      const int64_t Percent = std::min<int64_t>(
-          99, (nowMs() - Run.StartedAt) * 100 /
-                  std::max<int64_t>(Run.Goes.WorkMs, 1));
+      const int64_t Percent =
+          std::min<int64_t>(99, (nowMs() - Run.StartedAt) * 100 /
+                                    std::max<int64_t>(Run.Goes.WorkMs, 1));
       Running.push_back(
           nlohmann::json::array({Task, Run.Number, "", Percent, 0}));
     }
@@ -213,8 +213,8 @@
     for (const EndState &End : Ends) {
       if (Finished.size() == PageSize)
         break;
-      Finished.push_back(nlohmann::json::array(
-          {End.Number, End.Task, End.Run, End.How, ""}));
+      Finished.push_back(
+          nlohmann::json::array({End.Number, End.Task, End.Run, End.How, ""}));
     }
     nlohmann::json Lists = nlohmann::json::object();
     Lists["running"] = Running;
@@ -249,8 +249,7 @@
         else if (Now >= DoneAt)
           Ended.emplace_back(Task, Run.Goes.How);
         else
-          Next = std::min(
-              {Next, DoneAt, Run.StopAt == 0 ? Next : Run.StopAt});
+          Next = std::min({Next, DoneAt, Run.StopAt == 0 ? Next : Run.StopAt});
       }
       for (const auto &[Task, How] : Ended)
         end(Task, How);
@@ -302,7 +301,7 @@
   }
 
   /// Ends at once and for good, as after a crash.
- public:
+public:
   void lose() {
     Http.stop();
     const std::lock_guard Lock(Mutex);
@@ -311,7 +310,7 @@
     Log.line(Settings.Id + " is lost for good");
   }
 
- private:
+private:
   bool isDraining() {
     const std::lock_guard Lock(Mutex);
     return DrainFor > 0;
