--- a/review/10/case.cpp
+++ b/review/10/case.cpp
@@ -75,9 +75,15 @@
   }
   if (Accepted.size() < JobCount / 2)
     return NotRun;
+  std::atomic<bool> Finished{false};
   std::thread Platform;
   if (trouble())
-    Platform = std::thread([&] { Site.restartGracefully("core-1", GraceMs); });
+    // The process ends with the thread that has started it.
+    Platform = std::thread([&] {
+      Site.restartGracefully("core-1", GraceMs);
+      while (!Finished)
+        sleepMs(20);
+    });
 
   std::map<std::string, std::string> States;
   const int64_t Deadline = nowMs() + LimitMs;
@@ -100,8 +106,6 @@
       break;
     sleepMs(200);
   }
-  if (Platform.joinable())
-    Platform.join();
   std::map<std::string, int> FailedEnds;
   for (const auto &Server : Fleet)
     Server->countEnds("failed", FailedEnds);
@@ -119,6 +123,9 @@
   Log.say(std::to_string(Accepted.size()) + " jobs accepted, " +
           std::to_string(Done) + " done, " + std::to_string(Wrong) +
           " shown as failed before their attempts were used up");
+  Finished = true;
+  if (Platform.joinable())
+    Platform.join();
   return Wrong == 0 ? Held : Broken;
 }
 
