--- a/review/kit-2/deployment.h
+++ b/review/kit-2/deployment.h
@@ -17,6 +17,8 @@
   std::string Zone;
   bool Control = false;
   std::string Ip;
+  /// Address under which the other machines reach it; its own if empty.
+  std::string RelayIp = {};
 };
 
 constexpr int PeerPort = 7720;
@@ -166,15 +168,19 @@
     pid_t Pid = 0;
   };
 
+  static std::string reachedAt(const NodeOptions &Options) {
+    return Options.RelayIp.empty() ? Options.Ip : Options.RelayIp;
+  }
+
   std::string settingsPath(const std::string &Name) const {
     return Folder + "/" + Name + ".json";
   }
 
   void writeSettings(const NodeOptions &Options, bool First) const {
     nlohmann::json Seeds = nlohmann::json::array();
-    for (const Address &Control : controls())
-      if (Seeds.size() < 3)
-        Seeds.push_back(Control.text());
+    for (const auto &[Name, Node] : Nodes)
+      if (Node.Options.Control && Seeds.size() < 3)
+        Seeds.push_back(Address{reachedAt(Node.Options), ControlPort}.text());
     nlohmann::json Root = {{"name", Options.Name},
                            {"data_centre", Options.Zone},
                            {"role", Options.Control ? "control" : "entry"},
@@ -189,6 +195,8 @@
                            {"trusted_network", true}};
     if (Options.Control) {
       Root["control"] = Address{Options.Ip, ControlPort}.text();
+      if (!Options.RelayIp.empty())
+        Root["advertised_peer"] = Address{Options.RelayIp, PeerPort}.text();
       Root["data_folder"] = Folder + "/" + Options.Name + ".data";
     } else {
       Root["front"] = Address{Options.Ip, FrontPort}.text();
--- a/review/kit-2/worker.h
+++ b/review/kit-2/worker.h
@@ -20,6 +20,13 @@
 using Planner = std::function<RunPlan(const std::string &Task, uint64_t Run,
                                       const std::string &Spec)>;
 
+/// A run that has ended, with its times.
+struct WorkerRun {
+  std::string Task;
+  int64_t BeginMs = 0;
+  int64_t EndMs = 0;
+};
+
 struct WorkerOptions {
   std::string Id;
   std::string Service;
@@ -79,6 +86,11 @@
       Jobs.insert(Task.substr(0, Task.find('.')));
     return Jobs;
   }
+  /// The runs that have ended.
+  std::vector<WorkerRun> runs() {
+    const std::lock_guard Lock(Mutex);
+    return EndedRuns;
+  }
   /// Number of runs of each job that ended so.
   void countEnds(const std::string &How, std::map<std::string, int> &Counts) {
     const std::lock_guard Lock(Mutex);
@@ -228,6 +240,7 @@
     uint64_t &Ended = HighestEnded[Task];
     Ended = std::max(Ended, Run.Number);
     History.emplace_back(Task, How);
+    EndedRuns.push_back({Task, Run.StartedAt, nowMs()});
     Ends.push_back({++LastEnd, Task, Run.Number, How});
     Log.line(Settings.Id + " run " + Task + " " + std::to_string(Run.Number) +
              " ends " + How);
@@ -341,6 +354,7 @@
   std::map<std::string, uint64_t> HighestEnded;
   std::vector<EndState> Ends;
   std::vector<std::pair<std::string, std::string>> History;
+  std::vector<WorkerRun> EndedRuns;
   uint64_t LastEnd = 0;
   uint64_t AckCursor = 0;
   uint64_t HighestToken = 0;
