--- a/review/kit-3/deployment.h
+++ b/review/kit-3/deployment.h
@@ -12,6 +12,7 @@
 
 #include <fcntl.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 
 #include <filesystem>
@@ -78,6 +79,8 @@
     const std::string Path = "PATH=/usr/bin:/bin";
     Pid = fork();
     if (Pid == 0) {
+      // Also if this program is killed, and also while frozen.
+      prctl(PR_SET_PDEATHSIG, SIGKILL);
       const int File =
           open(LogPath.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
       dup2(File, 1);
@@ -430,9 +433,11 @@
         if (Earlier->EndedAt < 0 || Earlier->EndedAt > Later->StartedAt)
           Why = "while an earlier run goes on";
         else if (Earlier->How == "done" && Earlier->AckedAt >= 0 &&
-                 !Earlier->LapsedBetween)
+                 Earlier->LapsedAt < 0)
           Why = "after an end that ack_cursor reached";
         else if (Earlier->How == "done" && Earlier->ListedAt >= 0 &&
+                 (Earlier->LapsedAt < 0 ||
+                  Earlier->LapsedAt > Earlier->ListedAt + NoteDelay) &&
                  IsCalm(Earlier->EndedAt, Later->StartedAt + NoteDelay))
           Why = "after an end that was listed in calm";
         if (Why == nullptr)
--- a/review/kit-3/load.h
+++ b/review/kit-3/load.h
@@ -157,11 +157,12 @@
 
 /// LOST: finish_s after the end of the traffic, watches for 3 s, and returns
 /// the number of accepted jobs that had nothing running all the while, though
-/// they aren't done, a task's turn has come, there was capacity for it twice
-/// over, and under half of the service's capacity was in use. For jobs of one
-/// step.
+/// they aren't done, there was capacity twice over for a task of Cpu on the
+/// workers with Label, and under half of the service's capacity was in use. The
+/// caller names jobs of which the turn of such a task has come.
 inline int countLeftWaiting(Deployment &System, Record &Log,
-                            const std::vector<SentJob> &Jobs, int Cpu) {
+                            const std::vector<SentJob> &Jobs, int Cpu,
+                            const std::string &Label = "") {
   constexpr double WatchSeconds = 3;
   const double From = Log.now();
   bool HadRoom = true;
@@ -174,7 +175,8 @@
         continue;
       InUse += Each->cpuInUse();
       Capacity += Each->settings().Cpu;
-      Slots += (Each->settings().Cpu - Each->cpuInUse()) / Cpu;
+      if (Label.empty() || Each->settings().Kind == Label)
+        Slots += (Each->settings().Cpu - Each->cpuInUse()) / Cpu;
     }
     HadRoom = HadRoom && InUse * 2 < Capacity && Slots >= 2;
     pause(0.05);
--- a/review/kit-3/record.h
+++ b/review/kit-3/record.h
@@ -29,8 +29,9 @@
   /// reached it; negative if never.
   double ListedAt = -1;
   double AckedAt = -1;
-  /// The lease of the worker lapsed between the end and ack_cursor.
-  bool LapsedBetween = false;
+  /// First time after the end, and before ack_cursor reached it, at which the
+  /// lease of the worker lapsed; negative if never.
+  double LapsedAt = -1;
 
   std::string job() const { return Task.substr(0, 16); }
 };
--- a/review/kit-3/worker.h
+++ b/review/kit-3/worker.h
@@ -378,7 +378,8 @@
     {
       const std::lock_guard Lock(Log.Mutex);
       for (const Ended &End : Finished)
-        Log.Runs[End.RecordIndex].LapsedBetween = true;
+        if (RunRecord &Entry = Log.Runs[End.RecordIndex]; Entry.LapsedAt < 0)
+          Entry.LapsedAt = Log.now();
     }
     for (auto It = Running.begin(); It != Running.end();)
       It = endRun(It, "lapsed");
