Log the request number of an entry VM with the answers to it

The logs of entry and control VMs could not show which request an answer was for: job_dispatched (404) has the job that was answered, job_answered (406) the job that the caller had sent, and the two meet in the number of the request only. Both lines have it now.

--- a/src/cluster/internal/dispatchservice.cpp
+++ b/src/cluster/internal/dispatchservice.cpp
@@ -220,7 +220,8 @@
               {"reason", std::string(reasonName(Answer.Reason))},
               {"retry_after_ms", std::to_string(Answer.RetryAfterMs)},
               {"target", Answer.Target},
-              {"entry", Answer.Recipient.Vm}});
+              {"entry", Answer.Recipient.Vm},
+              {"request", std::to_string(Answer.Recipient.Request)}});
   Bus.send(Answer.Recipient.Vm, Answer);
 }
 
--- a/src/cluster/internal/entrynode.cpp
+++ b/src/cluster/internal/entrynode.cpp
@@ -239,6 +239,7 @@
   logEvent(
       events::JobAnswered,
       {{"job", Job.Submission.Id},
+       {"request", std::to_string(Answer.Recipient.Request)},
        {"result", std::string(resultName(Answer.Result))},
        {"reason", std::string(reasonName(Answer.Reason))},
        {"dispatcher", Job.Target.Name},
