--- a/src/cluster/clusterbus.h
+++ b/src/cluster/clusterbus.h
@@ -8,6 +8,7 @@
 #include "framework/net/timer.h"
 
 #include <functional>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -41,8 +42,10 @@
   /// of the last call. The seeds may be outdated after a restart.
   void setVoters(std::set<Endpoint> NewVoters);
 
-  /// Returns false if there is no link to the VM.
-  bool send(const std::string &PeerName, const ClusterMessage &Message);
+  /// Returns false if there is no link to the process \p Peer. A message is
+  /// never sent to another process of its VM, for which the numbers in it would
+  /// mean something else.
+  bool send(const VmId &Peer, const ClusterMessage &Message);
   /// Sends to each linked VM with the role \p Role.
   void sendToRole(MemberRole Role, const ClusterMessage &Message);
   /// Announces to the other VMs that this VM stops soon.
@@ -55,14 +58,21 @@
   /// Returns the address under which other VMs reach this one.
   const Endpoint &address() const { return Settings.AdvertisedPeer; }
   const std::string &dataCentre() const { return Settings.DataCentre; }
-  bool isLinked(const std::string &Name) const { return Mesh.reachable(Name); }
+  /// Returns the process of the VM \p Name to which there is a link, if any.
+  std::optional<VmId> linkedProcess(const std::string &Name) const {
+    return Mesh.reachable(Name);
+  }
+  /// Returns true if there is a link to the process \p Peer.
+  bool isLinked(const VmId &Peer) const {
+    return linkedProcess(Peer.Name) == Peer;
+  }
   /// Returns the live control VMs that accept work, including this VM if it is
   /// one.
   std::vector<MemberInfo> liveControlVms() const;
 
 private:
   void handlePayload(const VmId &Sender, std::string_view Payload);
-  void handleHeartbeat(const VmId &Sender, const ClusterHeartbeat &Message);
+  void handleHeartbeat(const ClusterHeartbeat &Message);
   void sendHeartbeat();
   std::string makeHeartbeat() const;
   MemberInfo selfInfo() const;
--- a/src/cluster/dispatchservice.h
+++ b/src/cluster/dispatchservice.h
@@ -26,6 +26,8 @@
     std::function<void(const RunEnded &)> HandleRunEnd;
     /// Answers a query about any job that is not an in-memory job of this VM.
     std::function<void(const VmId &, const JobQuery &)> Query;
+    /// Drops what waits for a process that has ended or become unreachable.
+    std::function<void(const VmId &)> DropSource;
   };
   struct Callbacks {
     /// Called after this VM has acquired or lost a backend server.
@@ -66,12 +68,6 @@
   void run();
 
 private:
-  /// A VM whose link is down.
-  struct LostSource {
-    uint64_t Incarnation = 0;
-    Instant Since;
-  };
-
   void perform(const StartOrder &Order);
   void perform(const StopOrder &Order);
   void perform(const PollOrder &Order);
@@ -86,6 +82,8 @@
   void perform(const RunEnded &Effect) {
     Handlers.StoredJobs.HandleRunEnd(Effect);
   }
+  /// Abandons all requests of a process.
+  void dropSource(const VmId &Process);
   void tick();
 
   EventLoop &Loop;
@@ -95,8 +93,8 @@
   Dispatcher JobDispatcher;
   bool Draining = false;
   bool Running = false;
-  std::map<std::string, uint64_t> Incarnations;
-  std::map<std::string, LostSource> LostSources;
+  /// Processes whose link is down, and since when.
+  std::map<VmId, Instant> LostSources;
   DispatchLimits Limits;
   Timer TickTimer;
   Counter &SubmittedJobs;
--- a/src/cluster/entrynode.h
+++ b/src/cluster/entrynode.h
@@ -93,7 +93,7 @@
   };
   /// A query that was sent to several dispatchers.
   struct OpenQuery {
-    std::set<std::string> AwaitedVms;
+    std::set<VmId> AwaitedProcesses;
     /// Addresses of the VMs that have answered.
     std::set<std::string> AnsweredVms;
     bool Incomplete = false;
@@ -117,9 +117,13 @@
   void handlePeerDown(const VmId &Peer);
   void handleHeartbeat(const VmId &Sender, const ClusterHeartbeat &Message);
   void adoptConfiguration(const ChosenValue &Value);
-  std::optional<std::string> chooseDispatcher(const std::string &Job) const;
-  bool handOver(uint64_t Number, OpenJob &Job,
-                const std::string &DispatcherName, bool Resumed = false);
+  std::optional<VmId> chooseDispatcher(const std::string &Job) const;
+  bool handOver(uint64_t Number, OpenJob &Job, const VmId &Dispatcher,
+                bool Resumed = false);
+  /// Hands a job to the process that the VM \p DispatcherName has now.
+  bool redirect(uint64_t Number, OpenJob &Job,
+                const std::string &DispatcherName);
+  std::size_t linkedDispatchers() const;
   void finishJob(uint64_t Number, const JobAnswer &Answer);
   /// Answers that the job was given up, and adds a pending withdrawal unless
   /// the job is stored: a stored job runs to its end, and its caller asks for
@@ -152,9 +156,7 @@
   /// Voters of the configuration in force. Stored jobs are on them.
   VoterSet Voters;
   Instant ConfigurationRequestedAt;
-  std::map<std::string, DispatchLoad> DispatcherLoads;
-  /// Incarnations of the VMs with a link, by name.
-  std::map<std::string, uint64_t> LinkedVms;
+  std::map<VmId, DispatchLoad> DispatcherLoads;
   std::map<uint64_t, OpenJob> OpenJobs;
   std::vector<PendingWithdrawal> Withdrawals;
   std::map<uint64_t, OpenQuery> OpenQueries;
--- a/src/cluster/internal/backenddirectory.cpp
+++ b/src/cluster/internal/backenddirectory.cpp
@@ -159,10 +159,10 @@
     if (!Backend.Report.Id.empty() && !Backend.Restored)
       AllReports.Reports.push_back(Backend.Report);
   if (!AllReports.Reports.empty())
-    Bus.send(Sender.Name, AllReports);
+    Bus.send(Sender, AllReports);
   const OwnershipUpdate Ownership{Dispatch.dispatcher().ownedBackends(), {}};
   if (!Ownership.Acquired.empty())
-    Bus.send(Sender.Name, Ownership);
+    Bus.send(Sender, Ownership);
 }
 
 void BackendDirectory::flush() {
--- a/src/cluster/internal/clusterbus.cpp
+++ b/src/cluster/internal/clusterbus.cpp
@@ -41,7 +41,7 @@
               // to the new peer: when many links come up at once, a heartbeat
               // to all of them for each one grows with the square of their
               // number.
-              Mesh.send(Peer.Name, makeHeartbeat());
+              Mesh.send(Peer, makeHeartbeat());
               Handlers.OnPeerUp(Peer);
             },
             [this](const VmId &Peer) {
@@ -79,16 +79,15 @@
   Voters = std::move(NewVoters);
 }
 
-bool ClusterBus::send(const std::string &PeerName,
-                      const ClusterMessage &Message) {
-  return Mesh.send(PeerName, encode(Message));
+bool ClusterBus::send(const VmId &Peer, const ClusterMessage &Message) {
+  return Mesh.send(Peer, encode(Message));
 }
 
 void ClusterBus::sendToRole(MemberRole Role, const ClusterMessage &Message) {
   const std::string Bytes = encode(Message);
   for (const MemberInfo &Member : View.members(Role))
     if (Member.Id.Name != Self.Name)
-      Mesh.send(Member.Id.Name, Bytes);
+      Mesh.send(Member.Id, Bytes);
 }
 
 void ClusterBus::drain() {
@@ -122,15 +121,16 @@
              {{"peer", Sender.Name}, {"error", describe(errorOf(Decoded))}});
     return;
   }
-  if (const auto *Heartbeat = std::get_if<ClusterHeartbeat>(&valueOf(Decoded)))
-    handleHeartbeat(Sender, *Heartbeat);
+  if (const auto *Heartbeat =
+          std::get_if<ClusterHeartbeat>(&valueOf(Decoded))) {
+    if (Heartbeat->Self.Id != Sender)
+      return;
+    handleHeartbeat(*Heartbeat);
+  }
   Handlers.OnMessage(Sender, valueOf(Decoded));
 }
 
-void ClusterBus::handleHeartbeat(const VmId &Sender,
-                                 const ClusterHeartbeat &Message) {
-  if (Message.Self.Id != Sender)
-    return;
+void ClusterBus::handleHeartbeat(const ClusterHeartbeat &Message) {
   const Instant Now = Loop.now();
   View.recordContact(Message.Self, Now);
   for (const MemberSighting &Sighting : Message.ControlSightings)
@@ -157,7 +157,7 @@
   const Instant Now = Loop.now();
   // A control VM that has already dialled this VM needs no second link.
   for (const MemberInfo &Member : View.members(MemberRole::Control)) {
-    if (Mesh.reachable(Member.Id.Name) || Member.Id.Name == Self.Name)
+    if (linkedProcess(Member.Id.Name) || Member.Id.Name == Self.Name)
       continue;
     if (View.isLive(Member.Id.Name, Now))
       Mesh.dial(Member.PeerEndpoint);
--- a/src/cluster/internal/controlnode.cpp
+++ b/src/cluster/internal/controlnode.cpp
@@ -31,24 +31,26 @@
              Heartbeat.Load = Dispatch.dispatcher().load(this->Loop.now());
            }}),
       Configuration(Loop, Settings, Bus, Metrics),
-      Dispatch(Loop, Settings, Bus, std::move(Orders), Metrics,
-               {[this](const OwnershipChanged &Change) {
-                  Backends.handleOwnershipChange(Change);
-                },
-                [this] { Watch.check(); },
-                {[this](const JobSubmission &Job, const JobSource &Source) {
-                   return JobStore.answerKnownJob(Job, Source);
-                 },
-                 [this](const StoreJob &Effect) { JobStore.storeJob(Effect); },
-                 [this](const JobProgressed &Effect) {
-                   JobStore.storeProgress(Effect);
-                 },
-                 [this](const RunEnded &Effect) {
-                   JobStore.handleLocalRunEnd(Effect);
-                 },
-                 [this](const VmId &Sender, const JobQuery &Query) {
-                   JobStore.query(Sender, Query);
-                 }}}),
+      Dispatch(
+          Loop, Settings, Bus, std::move(Orders), Metrics,
+          {[this](const OwnershipChanged &Change) {
+             Backends.handleOwnershipChange(Change);
+           },
+           [this] { Watch.check(); },
+           {[this](const JobSubmission &Job, const JobSource &Source) {
+              return JobStore.answerKnownJob(Job, Source);
+            },
+            [this](const StoreJob &Effect) { JobStore.storeJob(Effect); },
+            [this](const JobProgressed &Effect) {
+              JobStore.storeProgress(Effect);
+            },
+            [this](const RunEnded &Effect) {
+              JobStore.handleLocalRunEnd(Effect);
+            },
+            [this](const VmId &Sender, const JobQuery &Query) {
+              JobStore.query(Sender, Query);
+            },
+            [this](const VmId &Process) { JobStore.dropSource(Process); }}}),
       JobStore(Loop, Settings, Bus, Configuration, Dispatch),
       Backends(Loop, Bus, Dispatch),
       Watch(Loop, StallLimit, [this] { handleStall(); }) {}
@@ -124,7 +126,7 @@
       Now - ConfigurationRequestedAt < ConfigurationRetryDelay)
     return;
   ConfigurationRequestedAt = Now;
-  Bus.send(Sender.Name, RegisterMessage(ChosenRequest{}));
+  Bus.send(Sender, RegisterMessage(ChosenRequest{}));
 }
 
 void ControlNode::handleChosenValue(const RegisterValue &) {
@@ -133,7 +135,7 @@
   // newer ballot.
   for (const MemberInfo &Member : Bus.members().members(MemberRole::Entry))
     if (Member.DataCentre == Settings.DataCentre)
-      Bus.send(Member.Id.Name, RegisterMessage(*Configuration.chosen()));
+      Bus.send(Member.Id, RegisterMessage(*Configuration.chosen()));
 }
 
 } // namespace sapphiremoor
--- a/src/cluster/internal/dispatchservice.cpp
+++ b/src/cluster/internal/dispatchservice.cpp
@@ -65,7 +65,7 @@
 
 void DispatchService::submit(const VmId &Sender, const SubmitJob &Message) {
   SubmittedJobs.add();
-  const JobSource Source{Sender.Name, Message.Request};
+  const JobSource Source{Sender, Message.Request};
   if (Message.Job.Stored &&
       Handlers.StoredJobs.AnswerKnown(Message.Job, Source))
     return;
@@ -87,8 +87,7 @@
 }
 
 void DispatchService::withdraw(const VmId &Sender, const WithdrawJob &Message) {
-  JobDispatcher.withdraw(Message.Job, {Sender.Name, Message.Request},
-                         Loop.now());
+  JobDispatcher.withdraw(Message.Job, {Sender, Message.Request}, Loop.now());
   run();
 }
 
@@ -100,36 +99,37 @@
   const JobStatus PreviousStatus = JobDispatcher.status(Message.Job);
   if (Message.Cancel)
     JobDispatcher.cancel(Message.Job, Loop.now());
-  Bus.send(Sender.Name,
+  Bus.send(Sender,
            JobQueryAnswer{Message.Request, PreviousStatus, Message.Cancel});
   run();
 }
 
 void DispatchService::queryPending(const VmId &Sender,
                                    const PendingJobsQuery &Message) {
-  Bus.send(Sender.Name,
-           PendingJobsAnswer{Message.Request,
-                             JobDispatcher.pendingJobs(Message.Queue)});
+  Bus.send(Sender, PendingJobsAnswer{Message.Request,
+                                     JobDispatcher.pendingJobs(Message.Queue)});
 }
 
 void DispatchService::handlePeerUp(const VmId &Peer) {
-  const auto It = Incarnations.find(Peer.Name);
-  if (It != Incarnations.end() && It->second != Peer.Incarnation)
-    JobDispatcher.dropSource(Peer.Name, Loop.now());
-  Incarnations[Peer.Name] = Peer.Incarnation;
-  LostSources.erase(Peer.Name);
+  LostSources.erase(Peer);
+  // A lost process does not come back once its VM has another one.
+  std::erase_if(LostSources, [&](const auto &Lost) {
+    if (Lost.first.Name != Peer.Name)
+      return false;
+    dropSource(Lost.first);
+    return true;
+  });
   run();
 }
 
 void DispatchService::handlePeerDown(const VmId &Peer) {
-  LostSources[Peer.Name] = {Peer.Incarnation, Loop.now()};
+  LostSources[Peer] = Loop.now();
   JobDispatcher.updatePeerLoad(Peer.Name, std::nullopt);
 }
 
 void DispatchService::handleStall() {
   JobDispatcher.distrustBackends(Loop.now());
-  for (const auto &[Vm, Incarnation] : Incarnations)
-    JobDispatcher.dropSource(Vm, Loop.now());
+  JobDispatcher.dropAllSources(Loop.now());
   run();
 }
 
@@ -142,13 +142,18 @@
     JobDispatcher.updatePeerLoad(Message.Self.Id.Name, Message.Load);
 }
 
+void DispatchService::dropSource(const VmId &Process) {
+  JobDispatcher.dropSource(Process, Loop.now());
+  Handlers.StoredJobs.DropSource(Process);
+}
+
 void DispatchService::tick() {
   Handlers.CheckStall();
   const Instant Now = Loop.now();
-  std::erase_if(LostSources, [&](const auto &Source) {
-    if (Now - Source.second.Since < Limits.SourceGracePeriod)
+  std::erase_if(LostSources, [&](const auto &Lost) {
+    if (Now - Lost.second < Limits.SourceGracePeriod)
       return false;
-    JobDispatcher.dropSource(Source.first, Now);
+    dropSource(Lost.first);
     return true;
   });
   JobDispatcher.tick(Now);
@@ -220,9 +225,9 @@
               {"reason", std::string(reasonName(Answer.Reason))},
               {"retry_after_ms", std::to_string(Answer.RetryAfterMs)},
               {"target", Answer.Target},
-              {"entry", Answer.Recipient.Vm},
+              {"entry", Answer.Recipient.Process.Name},
               {"request", std::to_string(Answer.Recipient.Request)}});
-  Bus.send(Answer.Recipient.Vm, Answer);
+  Bus.send(Answer.Recipient.Process, Answer);
 }
 
 void DispatchService::perform(const OwnershipChanged &Change) {
--- a/src/cluster/internal/entrynode.cpp
+++ b/src/cluster/internal/entrynode.cpp
@@ -88,12 +88,23 @@
 }
 
 bool EntryNode::isReady() const {
+  const std::vector<MemberInfo> Dispatchers =
+      Bus.members().members(MemberRole::Control);
   return Table.has_value() && !Draining &&
-         std::ranges::any_of(LinkedVms, [this](const auto &Vm) {
-           return Bus.members().isReachable(Vm.first, Loop.now());
+         std::ranges::any_of(Dispatchers, [this](const MemberInfo &Member) {
+           return Bus.members().isReachable(Member.Id.Name, Loop.now());
          });
 }
 
+std::size_t EntryNode::linkedDispatchers() const {
+  const std::vector<MemberInfo> Dispatchers =
+      Bus.members().members(MemberRole::Control);
+  return static_cast<std::size_t>(
+      std::ranges::count_if(Dispatchers, [this](const MemberInfo &Member) {
+        return Bus.isLinked(Member.Id);
+      }));
+}
+
 uint64_t EntryNode::submit(const JobSubmission &Submission,
                            JobHandler Handler) {
   SubmittedJobs.add();
@@ -106,10 +117,10 @@
   NewJob.ArrivedAt = Now;
   NewJob.Deadline = Now + std::chrono::milliseconds(Submission.DeadlineMs);
   OpenJob &Job = OpenJobs.emplace(Number, std::move(NewJob)).first->second;
-  const auto DispatcherName = chooseDispatcher(Submission.Id);
-  if (RefusingNew || Now < RefuseUntil || !DispatcherName ||
-      !handOver(Number, Job, *DispatcherName))
-    finishJob(Number, {{Settings.Name, Number},
+  const auto Dispatcher = chooseDispatcher(Submission.Id);
+  if (RefusingNew || Now < RefuseUntil || !Dispatcher ||
+      !handOver(Number, Job, *Dispatcher))
+    finishJob(Number, {{Bus.self(), Number},
                        Submission.Id,
                        JobResult::NotRun,
                        JobReason::Overloaded,
@@ -126,17 +137,16 @@
   sendWithdrawals();
 }
 
-std::optional<std::string>
-EntryNode::chooseDispatcher(const std::string &Job) const {
+std::optional<VmId> EntryNode::chooseDispatcher(const std::string &Job) const {
   const Instant Now = Loop.now();
-  std::optional<std::string> Best;
+  std::optional<VmId> Best;
   std::tuple<bool, int64_t, uint64_t> BestRank;
   for (const MemberInfo &Member : Bus.members().members(MemberRole::Control)) {
     const std::string &Name = Member.Id.Name;
     if (Member.Draining || !Bus.members().isReachable(Name, Now))
       continue;
     const bool SameDataCentre = Member.DataCentre == Settings.DataCentre;
-    const auto LoadIt = DispatcherLoads.find(Name);
+    const auto LoadIt = DispatcherLoads.find(Member.Id);
     // Within this VM's data centre the wait is ignored, so that a job and its
     // repetitions go to the same dispatcher.
     const int64_t WaitRank = SameDataCentre || LoadIt == DispatcherLoads.end()
@@ -146,22 +156,25 @@
                           rendezvousWeight(Job, Name));
     if (Best && Rank <= BestRank)
       continue;
-    Best = Name;
+    Best = Member.Id;
     BestRank = Rank;
   }
   return Best;
 }
 
-bool EntryNode::handOver(uint64_t Number, OpenJob &Job,
-                         const std::string &DispatcherName, bool Resumed) {
-  const auto LinkIt = LinkedVms.find(DispatcherName);
-  if (LinkIt == LinkedVms.end())
-    return false;
+bool EntryNode::redirect(uint64_t Number, OpenJob &Job,
+                         const std::string &DispatcherName) {
+  const std::optional<VmId> Dispatcher = Bus.linkedProcess(DispatcherName);
+  return Dispatcher && handOver(Number, Job, *Dispatcher);
+}
+
+bool EntryNode::handOver(uint64_t Number, OpenJob &Job, const VmId &Dispatcher,
+                         bool Resumed) {
   SubmitJob Message{Number, Job.Redirects, Resumed, Job.Submission};
   Message.Job.DeadlineMs = toMilliseconds(Job.Deadline - Loop.now());
-  if (Message.Job.DeadlineMs <= 0 || !Bus.send(DispatcherName, Message))
+  if (Message.Job.DeadlineMs <= 0 || !Bus.send(Dispatcher, Message))
     return false;
-  Job.Target = {DispatcherName, LinkIt->second};
+  Job.Target = Dispatcher;
   Job.LinkLostAt.reset();
   return true;
 }
@@ -191,8 +204,8 @@
     return;
   }
   ++Job.Redirects;
-  if (handOver(It->first, Job, Answer.Target) ||
-      handOver(It->first, Job, Sender.Name))
+  if (redirect(It->first, Job, Answer.Target) ||
+      handOver(It->first, Job, Sender))
     return;
   JobAnswer Unplaced = Answer;
   Unplaced.Reason = JobReason::Overloaded;
@@ -218,7 +231,7 @@
          {Number, Id},
          std::max(Job.Deadline, Loop.now()) + WithdrawalRetention});
   finishJob(Number,
-            {{Settings.Name, Number}, Id, JobResult::GivenUp, Reason, 0, {}});
+            {{Bus.self(), Number}, Id, JobResult::GivenUp, Reason, 0, {}});
 }
 
 void EntryNode::sendWithdrawals() {
@@ -226,12 +239,12 @@
   std::erase_if(Withdrawals, [&](const PendingWithdrawal &Pending) {
     if (Now >= Pending.Expiry)
       return true;
-    const auto LinkIt = LinkedVms.find(Pending.Target.Name);
-    if (LinkIt == LinkedVms.end())
+    const auto Linked = Bus.linkedProcess(Pending.Target.Name);
+    if (!Linked)
       return false;
     // Another process of the dispatcher's VM does not know the job.
-    return LinkIt->second != Pending.Target.Incarnation ||
-           Bus.send(Pending.Target.Name, Pending.Message);
+    return *Linked != Pending.Target ||
+           Bus.send(Pending.Target, Pending.Message);
   });
 }
 
@@ -251,16 +264,14 @@
 }
 
 void EntryNode::handlePeerUp(const VmId &Peer) {
-  LinkedVms[Peer.Name] = Peer.Incarnation;
   sendWithdrawals();
   for (auto &[Number, Job] : OpenJobs)
     if (Job.Target == Peer && Job.LinkLostAt)
-      handOver(Number, Job, Peer.Name, true);
+      handOver(Number, Job, Peer, true);
 }
 
 void EntryNode::handlePeerDown(const VmId &Peer) {
-  LinkedVms.erase(Peer.Name);
-  DispatcherLoads.erase(Peer.Name);
+  DispatcherLoads.erase(Peer);
   const Instant Now = Loop.now();
   for (auto &[Number, Job] : OpenJobs)
     if (Job.Target == Peer && !Job.LinkLostAt)
@@ -271,13 +282,13 @@
                                 const ClusterHeartbeat &Message) {
   if (Message.Self.Role != MemberRole::Control)
     return;
-  DispatcherLoads[Sender.Name] = Message.Load;
+  DispatcherLoads[Sender] = Message.Load;
   const Instant Now = Loop.now();
   if (Message.ConfigurationBallot <= ConfigurationBallot ||
       Now - ConfigurationRequestedAt < ConfigurationRetryDelay)
     return;
   ConfigurationRequestedAt = Now;
-  Bus.send(Sender.Name, RegisterMessage(ChosenRequest{}));
+  Bus.send(Sender, RegisterMessage(ChosenRequest{}));
 }
 
 void EntryNode::adoptConfiguration(const ChosenValue &Value) {
@@ -307,14 +318,14 @@
   const Instant Now = Loop.now();
   Query.Deadline = Now + QueryTimeout;
   for (const MemberInfo &Member : Bus.members().members(MemberRole::Control)) {
-    if (Bus.send(Member.Id.Name, MakeMessage(Number)))
-      Query.AwaitedVms.insert(Member.Id.Name);
+    if (Bus.send(Member.Id, MakeMessage(Number)))
+      Query.AwaitedProcesses.insert(Member.Id);
     else
       Query.Incomplete = true;
   }
-  if (Query.AwaitedVms.empty())
+  if (Query.AwaitedProcesses.empty())
     Query.Incomplete = true;
-  const bool NoneAsked = Query.AwaitedVms.empty();
+  const bool NoneAsked = Query.AwaitedProcesses.empty();
   OpenQueries.emplace(Number, std::move(Query));
   if (NoneAsked)
     finishQuery(Number);
@@ -348,9 +359,9 @@
 EntryNode::OpenQuery *EntryNode::recordQueryAnswer(const VmId &Sender,
                                                    uint64_t Number) {
   const auto It = OpenQueries.find(Number);
-  if (It == OpenQueries.end() || It->second.AwaitedVms.erase(Sender.Name) == 0)
+  if (It == OpenQueries.end() || It->second.AwaitedProcesses.erase(Sender) == 0)
     return nullptr;
-  if (const MemberInfo *Member = Bus.members().find(Sender.Name))
+  if (const MemberInfo *Member = Bus.members().find(Sender))
     It->second.AnsweredVms.insert(describe(Member->PeerEndpoint));
   return &It->second;
 }
@@ -364,7 +375,7 @@
   // values.
   Query->BestStatus = std::max(Query->BestStatus, Answer.Status);
   Query->JobEnded |= Answer.Ended;
-  if (Query->AwaitedVms.empty() || Query->JobEnded)
+  if (Query->AwaitedProcesses.empty() || Query->JobEnded)
     finishQuery(Answer.Request);
 }
 
@@ -374,12 +385,12 @@
   if (Query == nullptr)
     return;
   Query->PendingJobs += Answer.JobCount;
-  if (Query->AwaitedVms.empty())
+  if (Query->AwaitedProcesses.empty())
     finishQuery(Answer.Request);
 }
 
 bool EntryNode::isComplete(const OpenQuery &Query) const {
-  return !Query.Incomplete && Query.AwaitedVms.empty() &&
+  return !Query.Incomplete && Query.AwaitedProcesses.empty() &&
          isMajority(Voters, Query.AnsweredVms);
 }
 
@@ -436,7 +447,7 @@
   if (std::exchange(WasReady, Ready) != Ready)
     logEvent(events::ReadinessChanged,
              {{"ready", Ready ? "yes" : "no"},
-              {"dispatchers", std::to_string(LinkedVms.size())}});
+              {"dispatchers", std::to_string(linkedDispatchers())}});
 }
 
 } // namespace sapphiremoor
--- a/src/cluster/internal/jobstoreends.cpp
+++ b/src/cluster/internal/jobstoreends.cpp
@@ -132,8 +132,9 @@
   const std::string WriterName =
       Record == nullptr ? std::exchange(Pending.WriterName, {})
                         : LocalCopy->partitionWriter(Record->Partition);
-  if (const auto Vm = findLiveVm(WriterName); Vm && *Vm != Bus.self().Name)
-    Bus.send(*Vm, JobStoreMessage(Notice));
+  if (const auto Holder = findLiveWriter(WriterName);
+      Holder && *Holder != Bus.self())
+    Bus.send(*Holder, JobStoreMessage(Notice));
   return false;
 }
 
@@ -146,8 +147,8 @@
       continue;
     }
     const MemberInfo *Member = Bus.members().findByAddress(Voter);
-    if (Member != nullptr && Bus.isLinked(Member->Id.Name))
-      Bus.send(Member->Id.Name, JobStoreMessage(LocateJob{Job}));
+    if (Member != nullptr)
+      Bus.send(Member->Id, JobStoreMessage(LocateJob{Job}));
   }
 }
 
@@ -166,9 +167,9 @@
 
 void JobStoreService::handlePeerRunEnd(const VmId &Sender,
                                        const RunEndNotice &Notice) {
-  const EndHandler Reply = [this, SenderName = Sender.Name, Task = Notice.Task,
+  const EndHandler Reply = [this, Sender, Task = Notice.Task,
                             Run = Notice.RunNumber](bool Superseded) {
-    Bus.send(SenderName, JobStoreMessage(RunEndStored{Task, Run, Superseded}));
+    Bus.send(Sender, JobStoreMessage(RunEndStored{Task, Run, Superseded}));
   };
   if (applyEnd(Notice, Reply))
     return;
--- a/src/cluster/internal/jobstoreservice.cpp
+++ b/src/cluster/internal/jobstoreservice.cpp
@@ -119,7 +119,7 @@
 
 void JobStoreService::handleMessage(const VmId &Sender,
                                     const JobStoreMessage &Message) {
-  const MemberInfo *Member = Bus.members().find(Sender.Name);
+  const MemberInfo *Member = Bus.members().find(Sender);
   if (Member == nullptr)
     return;
   const std::string SenderAddress = describe(Member->PeerEndpoint);
@@ -149,8 +149,8 @@
     return;
   }
   const MemberInfo *Member = Bus.members().findByAddress(Effect.Address);
-  if (Member != nullptr && Bus.isLinked(Member->Id.Name))
-    Bus.send(Member->Id.Name, Effect.Message);
+  if (Member != nullptr)
+    Bus.send(Member->Id, Effect.Message);
 }
 
 void JobStoreService::perform(const AppendEntry &Effect) {
@@ -194,7 +194,7 @@
       Record != nullptr && Record->Progress.Outcome != StoredOutcome::Open;
   if (Record == nullptr && !Writer.ownsJob(Job.Id))
     return false;
-  WaitingRequests.emplace(Job.Id, Source);
+  addWaitingRequest(Job, Source);
   if (Ended)
     answerWaitingRequests(Job.Id, JobResult::Accepted, JobReason::None);
   else if (!Writer.ownsJob(Job.Id))
@@ -203,17 +203,35 @@
 }
 
 void JobStoreService::storeJob(const StoreJob &Effect) {
-  WaitingRequests.emplace(Effect.Job.Id, Effect.Source);
+  addWaitingRequest(Effect.Job, Effect.Source);
   Writer.create(Effect.Job, Loop.now());
   run();
 }
 
+void JobStoreService::addWaitingRequest(const JobSubmission &Job,
+                                        const JobSource &Source) {
+  const auto [Begin, End] = WaitingRequests.equal_range(Job.Id);
+  const bool Waits = std::any_of(Begin, End, [&Source](const auto &Entry) {
+    return Entry.second.Source == Source;
+  });
+  if (!Waits)
+    WaitingRequests.emplace(
+        Job.Id, WaitingRequest{Source, Loop.now() + std::chrono::milliseconds(
+                                                        Job.DeadlineMs)});
+}
+
+void JobStoreService::dropSource(const VmId &Process) {
+  std::erase_if(WaitingRequests, [&Process](const auto &Entry) {
+    return Entry.second.Source.Process == Process;
+  });
+}
+
 void JobStoreService::answerWaitingRequests(const std::string &Job,
                                             JobResult Result, JobReason Reason,
                                             const std::string &Target) {
   const auto [Begin, End] = WaitingRequests.equal_range(Job);
   for (auto It = Begin; It != End; ++It)
-    Dispatch.answer({It->second, Job, Result, Reason, 0, Target});
+    Dispatch.answer({It->second.Source, Job, Result, Reason, 0, Target});
   WaitingRequests.erase(Begin, End);
 }
 
@@ -232,10 +250,11 @@
 }
 
 void JobStoreService::perform(const JobHeldElsewhere &Effect) {
-  const auto Vm = findLiveVm(LocalCopy->partitionWriter(Effect.Partition));
-  if (Vm && *Vm != Bus.self().Name)
+  const auto Holder =
+      findLiveWriter(LocalCopy->partitionWriter(Effect.Partition));
+  if (Holder && *Holder != Bus.self())
     answerWaitingRequests(Effect.Id, JobResult::NotRun, JobReason::Redirected,
-                          *Vm);
+                          Holder->Name);
   else
     answerWaitingRequests(Effect.Id, JobResult::GivenUp, JobReason::Cancelled);
 }
@@ -328,9 +347,9 @@
 void JobStoreService::query(const VmId &Sender, const JobQuery &Message) {
   const std::string &Job = Message.Job;
   const JobStatus PreviousStatus = jobStatus(Job);
-  const auto Reply = [this, SenderName = Sender.Name, Number = Message.Request,
+  const auto Reply = [this, Sender, Number = Message.Request,
                       PreviousStatus](bool Ended) {
-    Bus.send(SenderName, JobQueryAnswer{Number, PreviousStatus, Ended});
+    Bus.send(Sender, JobQueryAnswer{Number, PreviousStatus, Ended});
   };
   const bool RunsHere = Dispatch.dispatcher().status(Job) != JobStatus::Unknown;
   if (Message.Cancel && RunsHere) {
@@ -355,12 +374,13 @@
 }
 
 void JobStoreService::handleStall() {
+  WaitingRequests.clear();
   Writer.handleStall();
   Dispatch.dispatcher().setStoredLeaseEnd(Writer.writerLeaseEnd());
 }
 
-std::optional<std::string>
-JobStoreService::findLiveVm(const std::string &WriterName) const {
+std::optional<VmId>
+JobStoreService::findLiveWriter(const std::string &WriterName) const {
   const MemberInfo *Member =
       Bus.members().findByAddress(writerAddress(WriterName));
   if (Member == nullptr ||
@@ -368,7 +388,7 @@
           WriterName ||
       !Bus.members().isLive(Member->Id.Name, Loop.now()))
     return std::nullopt;
-  return Member->Id.Name;
+  return Member->Id;
 }
 
 void JobStoreService::checkTakeovers() {
@@ -385,7 +405,7 @@
   // can tell that their ends are durable.
   for (const auto &[Partition, Promised] : LocalCopy->partitions()) {
     if (Writer.ownsOrClaims(Partition) ||
-        findLiveVm(LocalCopy->partitionWriter(Partition))) {
+        findLiveWriter(LocalCopy->partitionWriter(Partition))) {
       Takeovers.recordWriter(Partition);
       continue;
     }
@@ -408,7 +428,7 @@
   Writer.setVoters(Configuration.voters());
   std::set<std::string> CopyAddresses;
   for (const MemberInfo &Member : Bus.members().members(MemberRole::Control))
-    if (Bus.isLinked(Member.Id.Name))
+    if (Bus.isLinked(Member.Id))
       CopyAddresses.insert(describe(Member.PeerEndpoint));
   CopyAddresses.insert(describe(Settings.AdvertisedPeer));
   Writer.setCopies(std::move(CopyAddresses));
@@ -416,6 +436,9 @@
     NextTakeoverCheck = Now + TakeoverCheckPeriod;
     checkTakeovers();
   }
+  std::erase_if(WaitingRequests, [Now](const auto &Entry) {
+    return Now >= Entry.second.Deadline;
+  });
   std::erase_if(PendingEnds, [this](PendingEnd &Pending) {
     return resolvePendingEnd(Pending);
   });
--- a/src/cluster/internal/registerservice.cpp
+++ b/src/cluster/internal/registerservice.cpp
@@ -135,7 +135,7 @@
 
 void RegisterService::handleMessage(const VmId &Sender,
                                     const RegisterMessage &Message) {
-  const MemberInfo *Member = Bus.members().find(Sender.Name);
+  const MemberInfo *Member = Bus.members().find(Sender);
   if (Member == nullptr)
     return;
   Node->receive(describe(Member->PeerEndpoint), Message, Loop.now());
@@ -143,7 +143,7 @@
 }
 
 void RegisterService::handlePeerUp(const VmId &Peer) {
-  Bus.send(Peer.Name, RegisterMessage(ChosenRequest{}));
+  Bus.send(Peer, RegisterMessage(ChosenRequest{}));
 }
 
 Ballot RegisterService::chosenBallot() const {
@@ -198,7 +198,7 @@
     return;
   }
   if (const MemberInfo *Member = Bus.members().findByAddress(Message.Receiver))
-    Bus.send(Member->Id.Name, Message.Message);
+    Bus.send(Member->Id, Message.Message);
 }
 
 void RegisterService::store(const StoreState &Effect) {
--- a/src/cluster/jobstoreservice.h
+++ b/src/cluster/jobstoreservice.h
@@ -41,8 +41,16 @@
   /// Called after this process was paused, which may have outlasted the writer
   /// lease.
   void handleStall();
+  /// Drops the requests of a process that has ended or become unreachable.
+  void dropSource(const VmId &Process);
 
 private:
+  /// A request that is answered once its job is stored.
+  struct WaitingRequest {
+    JobSource Source;
+    /// The entry VM has answered its caller by this time.
+    Instant Deadline;
+  };
   /// A callback that waits until a version of a job is durable.
   struct DurabilityWaiter {
     uint64_t Version = 0;
@@ -82,6 +90,8 @@
   /// durable.
   void whenDurable(const std::string &Job, std::function<void()> Handler,
                    std::optional<RunEnded> End = {});
+  /// Lets a request wait until its job is stored.
+  void addWaitingRequest(const JobSubmission &Job, const JobSource &Source);
   void answerWaitingRequests(const std::string &Job, JobResult Result,
                              JobReason Reason, const std::string &Target = {});
   /// Called with true if the end is superseded by another run of the task.
@@ -105,8 +115,8 @@
   /// Returns true if a majority of the voters is reachable.
   bool majorityReachable() const;
   JobStatus jobStatus(const std::string &Job) const;
-  /// Returns the name of the writer's VM if the writer's process is live.
-  std::optional<std::string> findLiveVm(const std::string &WriterName) const;
+  /// Returns the process with this name of a writer if it is live.
+  std::optional<VmId> findLiveWriter(const std::string &WriterName) const;
   /// Claims the partitions whose writer is gone, unless a preferred VM is
   /// expected to do so.
   void checkTakeovers();
@@ -126,7 +136,7 @@
   uint64_t NextRecord = 1;
   std::size_t LogBytes = 0;
   /// Requests that wait until their job is stored, by job.
-  std::multimap<std::string, JobSource> WaitingRequests;
+  std::multimap<std::string, WaitingRequest> WaitingRequests;
   std::multimap<std::string, DurabilityWaiter> DurabilityWaiters;
   std::vector<PendingEnd> PendingEnds;
   /// Ends that were reported while the takeover of their job is in progress, by
--- a/src/cluster/tests/controlnode_test.cpp
+++ b/src/cluster/tests/controlnode_test.cpp
@@ -42,21 +42,30 @@
   void start(const std::vector<Endpoint> &Seeds, bool FirstStart,
              const BackendOrders &Orders = unansweredOrders()) {
     Loop = std::make_unique<EventLoop>();
-    for (std::size_t Number = 0; Number < Vms.size(); ++Number) {
-      Vm &Started = Vms[Number];
-      Started.Settings.Name = "c" + std::to_string(Number);
-      Started.Settings.DataCentre = "nitra";
-      Started.Settings.Role = MemberRole::Control;
-      Started.Settings.Peer = processEndpoint(Number);
-      Started.Settings.AdvertisedPeer = processEndpoint(Number);
-      Started.Settings.Seeds = Seeds;
-      Started.Settings.DataFolder = Folder.Path + "/" + Started.Settings.Name;
-      Started.Settings.FirstStart = FirstStart;
-      Started.Settings.ClusterKey = TestClusterKey;
-      Started.Node =
-          std::make_unique<ControlNode>(*Loop, Started.Settings, Orders);
-      REQUIRE_FALSE(isError(Started.Node->start()));
-    }
+    for (std::size_t Number = 0; Number < Vms.size(); ++Number)
+      startVm(Number, Seeds, FirstStart, Orders);
+  }
+
+  /// Starts VM \p Number only, the first one of a deployment if there is no
+  /// event loop yet.
+  void startVm(std::size_t Number, const std::vector<Endpoint> &Seeds,
+               bool FirstStart,
+               const BackendOrders &Orders = unansweredOrders()) {
+    if (!Loop)
+      Loop = std::make_unique<EventLoop>();
+    Vm &Started = Vms[Number];
+    Started.Settings.Name = "c" + std::to_string(Number);
+    Started.Settings.DataCentre = "nitra";
+    Started.Settings.Role = MemberRole::Control;
+    Started.Settings.Peer = processEndpoint(Number);
+    Started.Settings.AdvertisedPeer = processEndpoint(Number);
+    Started.Settings.Seeds = Seeds;
+    Started.Settings.DataFolder = Folder.Path + "/" + Started.Settings.Name;
+    Started.Settings.FirstStart = FirstStart;
+    Started.Settings.ClusterKey = TestClusterKey;
+    Started.Node =
+        std::make_unique<ControlNode>(*Loop, Started.Settings, Orders);
+    REQUIRE_FALSE(isError(Started.Node->start()));
   }
 
   void stop() {
@@ -143,15 +152,16 @@
 /// A VM of which only the link and the heartbeat exist. Records what it gets.
 class LinkedPeer {
 public:
-  LinkedPeer(EventLoop &Loop, const std::string &Name, MemberRole Role)
-      : Mesh(Loop, {Name, 1}, TestClusterKey, {},
+  LinkedPeer(EventLoop &Loop, const std::string &Name, MemberRole Role,
+             uint64_t Incarnation = 1)
+      : Mesh(Loop, {Name, Incarnation}, TestClusterKey, {},
              {[this](const VmId &, std::string_view Payload) {
                 Received.push_back(valueOf(decode<ClusterMessage>(Payload)));
               },
               [this](const VmId &) { sendHeartbeat(); }, [](const VmId &) {},
               [](const std::string &, const Error &) {}}),
         HeartbeatTimer(Loop, [this] { sendHeartbeat(); }) {
-    Self = {{Name, 1}, Role, "nitra", DeadSeed, false};
+    Self = {{Name, Incarnation}, Role, "nitra", DeadSeed, false};
     Mesh.dial(processEndpoint(0));
     HeartbeatTimer.startPeriodic(std::chrono::milliseconds(100));
   }
@@ -342,6 +352,62 @@
 
 namespace {
 
+/// Returns a stored job with one task of the service "s" in the queue "q".
+JobSubmission makeStoredJob(const std::string &Id) {
+  JobSubmission Job;
+  Job.Id = Id;
+  Job.Stored = true;
+  Job.Policy.Queue = "q";
+  Job.Policy.Service = "s";
+  Job.Steps = {StepRequest{1, {1000, 10, 0}, 100, {}, {}, {}, 0}};
+  Job.DeadlineMs = 60000;
+  return Job;
+}
+
+/// Asks VM 0 through \p Entry how many jobs have not started, until the answer
+/// is \p JobCount.
+void waitForPendingJobs(ControlVms &Vms, LinkedPeer &Entry, uint64_t JobCount) {
+  const auto HasCount = [JobCount](const ClusterMessage &Message) {
+    const auto *Answer = std::get_if<PendingJobsAnswer>(&Message);
+    return Answer != nullptr && Answer->JobCount == JobCount;
+  };
+  constexpr uint64_t QueryNumber = 1000;
+  while (std::ranges::none_of(Entry.received(), HasCount)) {
+    Entry.send(PendingJobsQuery{QueryNumber, "q"});
+    Vms.loop().runOnce(true);
+  }
+}
+
+} // namespace
+
+// Guards against two runs of a task at once: a control VM that could not store
+// a job yet answered its request to the next process of the entry VM, which
+// took the answer for that to another job with the same request number.
+TEST_CASE("a request is not answered to a later process of its entry VM") {
+  const std::vector<Endpoint> Seeds{processEndpoint(0), processEndpoint(1),
+                                    processEndpoint(2)};
+  ControlVms Vms(3);
+  Vms.startVm(0, Seeds, true);
+  {
+    LinkedPeer Former(Vms.loop(), "e1", MemberRole::Entry, 1);
+    while (Former.count<ClusterHeartbeat>() == 0)
+      Vms.loop().runOnce(true);
+    Former.send(SubmitJob{1, 0, false, makeStoredJob("0123456789abcdef")});
+    waitForPendingJobs(Vms, Former, 0);
+    REQUIRE(Former.count<JobAnswer>() == 0);
+  }
+  LinkedPeer Successor(Vms.loop(), "e1", MemberRole::Entry, 2);
+  while (Successor.count<ClusterHeartbeat>() == 0)
+    Vms.loop().runOnce(true);
+  // The job becomes durable now.
+  Vms.startVm(1, Seeds, true);
+  Vms.startVm(2, Seeds, true);
+  waitForPendingJobs(Vms, Successor, 1);
+  CHECK(Successor.count<JobAnswer>() == 0);
+}
+
+namespace {
+
 BackendReport makeReport(const std::string &Id) {
   BackendReport Report;
   Report.Id = Id;
--- a/src/cluster/tests/entrynode_test.cpp
+++ b/src/cluster/tests/entrynode_test.cpp
@@ -70,7 +70,7 @@
       if (RedirectTarget.empty() || Job->Redirects > 0)
         Jobs.push_back(*Job);
       else
-        send(Sender, JobAnswer{{Sender.Name, Job->Request},
+        send(Sender, JobAnswer{{Sender, Job->Request},
                                Job->Job.Id,
                                JobResult::NotRun,
                                JobReason::Redirected,
@@ -80,7 +80,7 @@
   }
 
   void send(const VmId &Peer, const ClusterMessage &Message) {
-    Mesh.send(Peer.Name, encode(Message));
+    Mesh.send(Peer, encode(Message));
   }
 
   VmId Self;
--- a/src/discovery/internal/memberview.cpp
+++ b/src/discovery/internal/memberview.cpp
@@ -55,9 +55,11 @@
   return Now - It->second.LastContact;
 }
 
-const MemberInfo *MemberView::find(const std::string &Name) const {
-  const auto It = Members.find(Name);
-  return It == Members.end() ? nullptr : &It->second.Info;
+const MemberInfo *MemberView::find(const VmId &Process) const {
+  const auto It = Members.find(Process.Name);
+  return It == Members.end() || It->second.Info.Id != Process
+             ? nullptr
+             : &It->second.Info;
 }
 
 const MemberInfo *MemberView::findByAddress(const std::string &Address) const {
--- a/src/discovery/memberview.h
+++ b/src/discovery/memberview.h
@@ -42,7 +42,9 @@
   /// Returns the time since any VM heard \p Name, or nothing if it is unknown.
   std::optional<Duration> silenceDuration(const std::string &Name,
                                           Instant Now) const;
-  const MemberInfo *find(const std::string &Name) const;
+  /// Returns what is known of a process, or null if it is unknown or another
+  /// process of its VM was heard last.
+  const MemberInfo *find(const VmId &Process) const;
   /// Returns the VM at this address that was heard last. The address is written
   /// "address:port".
   const MemberInfo *findByAddress(const std::string &Address) const;
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -11,6 +11,7 @@
 #include "dispatch/types/tokenissuer.h"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -128,9 +129,11 @@
   /// last request, so that it does not run beside a later submission, which may
   /// go to another dispatcher.
   void withdraw(const std::string &JobId, const JobSource &Source, Instant Now);
-  /// Abandons the requests of a VM that holds callers' connections and has
-  /// become unreachable.
-  void dropSource(const std::string &Vm, Instant Now);
+  /// Abandons the requests of a process that holds callers' connections and has
+  /// ended or become unreachable.
+  void dropSource(const VmId &Process, Instant Now);
+  /// Abandons the requests of all processes.
+  void dropAllSources(Instant Now);
   /// Returns the id of the backend server on which a run of the task is or may
   /// be active, or an empty string.
   std::string locateRun(const TaskId &Task) const;
@@ -223,6 +226,9 @@
               Instant Now);
   void submitStored(const JobSubmission &Request, const JobSource &Source,
                     uint8_t Redirects, Instant Now);
+  /// Removes requests, and ends the jobs that nobody waits for any more.
+  void dropSources(const std::function<bool(const JobSource &)> &IsDropped,
+                   Instant Now);
   /// Redirects a job that would have to wait to a dispatcher that can start it
   /// sooner. Returns false if there is none.
   bool redirectToPeer(const JobSubmission &Request, const JobSource &Source,
--- a/src/dispatch/internal/dispatcherjobs.cpp
+++ b/src/dispatch/internal/dispatcherjobs.cpp
@@ -185,11 +185,21 @@
   schedule(Now);
 }
 
-void Dispatcher::dropSource(const std::string &Vm, Instant Now) {
+void Dispatcher::dropSource(const VmId &Process, Instant Now) {
+  dropSources(
+      [&Process](const JobSource &Source) { return Source.Process == Process; },
+      Now);
+}
+
+void Dispatcher::dropAllSources(Instant Now) {
+  dropSources([](const JobSource &) { return true; }, Now);
+}
+
+void Dispatcher::dropSources(
+    const std::function<bool(const JobSource &)> &IsDropped, Instant Now) {
   std::vector<std::string> Orphaned;
   for (auto &[JobId, Job] : Jobs) {
-    std::erase_if(Job.Sources,
-                  [&Vm](const JobSource &Source) { return Source.Vm == Vm; });
+    std::erase_if(Job.Sources, IsDropped);
     if (detail::isOrphaned(Job))
       Orphaned.push_back(JobId);
   }
--- a/src/dispatch/tests/dispatcher_test.cpp
+++ b/src/dispatch/tests/dispatcher_test.cpp
@@ -265,9 +265,9 @@
   prepare(Simulation, 1);
   Simulation.submit("d1", makeSimpleJob("j1", 1, 500));
   Simulation.run(milliseconds(50));
-  Simulation.dispatcher("d1").dropSource("entry", Simulation.Now);
+  Simulation.dispatcher("d1").dropSource(EntryProcess, Simulation.Now);
   Simulation.run(milliseconds(100));
-  Simulation.dispatcher("d1").resume("j1", {"entry", 9});
+  Simulation.dispatcher("d1").resume("j1", {EntryProcess, 9});
   Simulation.run(milliseconds(100));
   CHECK(onlyResult(Simulation, "j1") == JobResult::GivenUp);
   CHECK(Simulation.starts("b0") == 1);
@@ -295,7 +295,7 @@
   Simulation.submit("d1", makeSimpleJob("j1", 2, 2000));
   Simulation.run(milliseconds(100));
   CHECK(Simulation.activeRuns("b0") == 2);
-  Simulation.dispatcher("d1").dropSource("entry", Simulation.Now);
+  Simulation.dispatcher("d1").dropSource(EntryProcess, Simulation.Now);
   Simulation.run(milliseconds(300));
   CHECK(Simulation.activeRuns("b0") == 0);
   CHECK(Simulation.dispatcher("d1").openJobs() == 0);
@@ -405,7 +405,7 @@
       Simulation.dispatcher("d1").locateRun({"j1", 0, 0});
   Simulation.UnreachableBackends.insert(FirstBackend);
   Simulation.crash(FirstBackend, milliseconds(300));
-  Simulation.dispatcher("d1").dropSource("entry", Simulation.Now);
+  Simulation.dispatcher("d1").dropSource(EntryProcess, Simulation.Now);
   Simulation.run(milliseconds(4500));
   Simulation.submit("d1", Job);
   Simulation.run(milliseconds(10));
@@ -723,10 +723,10 @@
   Dispatching.handleRunList(Owned, {10, 6, {}, {}}, Now, Now);
   const auto Reacquire = lastEffect<PollOrder>(Dispatching.takeEffects());
   Dispatching.handleRunList(Reacquire, {11, 6, {}, {}}, Now, Now);
-  Dispatching.submit(makeSimpleJob("j1", 4, 100), {"entry", 1}, 0, Now);
+  Dispatching.submit(makeSimpleJob("j1", 4, 100), {EntryProcess, 1}, 0, Now);
   CHECK(takeStarts(Dispatching).empty());
   Dispatching.handleReport(makeReport("b1", 6, {2000, 1000, 0}), Now);
-  Dispatching.submit(makeSimpleJob("j2", 4, 100), {"entry", 2}, 0, Now);
+  Dispatching.submit(makeSimpleJob("j2", 4, 100), {EntryProcess, 2}, 0, Now);
   CHECK(takeStarts(Dispatching).size() == 2);
 }
 
@@ -751,7 +751,7 @@
   Dispatcher Dispatching({}, {1, 0});
   const PollOrder Owned =
       takeOver(Dispatching, makeReport("b1", 5, SmallCapacity), 1000, Now);
-  Dispatching.submit(makeSimpleJob("j1", 1, 100), {"entry", 1}, 0, Now);
+  Dispatching.submit(makeSimpleJob("j1", 1, 100), {EntryProcess, 1}, 0, Now);
   const auto Starts = takeStarts(Dispatching);
   REQUIRE(Starts.size() == 1);
   Dispatching.handleStartAnswer(Starts.front(), {StartAnswerKind::Started, 10},
@@ -835,7 +835,7 @@
   Instant Now = instantAt(seconds(100));
   Dispatcher Dispatching({}, {1, 0});
   takeOver(Dispatching, makeReport("b1", 5, SmallCapacity), 1000, Now);
-  Dispatching.submit(makeSimpleJob("j1", 1, 3000), {"entry", 1}, 0, Now);
+  Dispatching.submit(makeSimpleJob("j1", 1, 3000), {EntryProcess, 1}, 0, Now);
   const auto Starts = takeStarts(Dispatching);
   REQUIRE(Starts.size() == 1);
   Dispatching.handleStartAnswer(Starts.front(),
@@ -847,9 +847,9 @@
   const RunList List{1100, 5, {{{"j1", 0, 0}, 1, 10}}, {}};
   Dispatching.handleRunList(Earlier, List, EarlierSentAt, Now);
   const auto Later = lastEffect<PollOrder>(Dispatching.takeEffects());
-  Dispatching.submit(makeSimpleJob("j2", 1, 100), {"entry", 2}, 0, Now);
+  Dispatching.submit(makeSimpleJob("j2", 1, 100), {EntryProcess, 2}, 0, Now);
   CHECK(takeStarts(Dispatching).empty());
   Dispatching.handleRunList(Later, List, Now, Now);
-  Dispatching.submit(makeSimpleJob("j3", 1, 100), {"entry", 3}, 0, Now);
+  Dispatching.submit(makeSimpleJob("j3", 1, 100), {EntryProcess, 3}, 0, Now);
   CHECK(takeStarts(Dispatching).size() == 1);
 }
--- a/src/dispatch/tests/fakebackends.cpp
+++ b/src/dispatch/tests/fakebackends.cpp
@@ -88,14 +88,14 @@
                               const JobSubmission &Job) {
   Jobs[Job.Id] = Job;
   const uint64_t Number = NextRequest++;
-  dispatcher(Name).submit(Job, {"entry", Number}, 0, Now);
+  dispatcher(Name).submit(Job, {EntryProcess, Number}, 0, Now);
   processEffects(Name);
   return Number;
 }
 
 void FakeBackends::withdraw(const std::string &Name, const std::string &Job,
                             uint64_t Number) {
-  dispatcher(Name).withdraw(Job, {"entry", Number}, Now);
+  dispatcher(Name).withdraw(Job, {EntryProcess, Number}, Now);
   processEffects(Name);
 }
 
--- a/src/dispatch/tests/fakebackends.h
+++ b/src/dispatch/tests/fakebackends.h
@@ -13,6 +13,9 @@
 
 namespace sapphiremoor {
 
+/// Process of the entry VM that submits the jobs of the tests.
+inline const VmId EntryProcess{"entry", 1};
+
 /// Simulates backend servers and dispatchers on one clock with a seeded random
 /// generator. Orders and answers are delayed, lost or carried out late; backend
 /// servers crash and restart. Records each violated guarantee: a backend server
--- a/src/dispatch/types/dispatcheffect.h
+++ b/src/dispatch/types/dispatcheffect.h
@@ -6,6 +6,7 @@
 #include "dispatch/types/resources.h"
 #include "dispatch/types/storedjob.h"
 #include "framework/core/time.h"
+#include "framework/core/types/vmid.h"
 
 #include <cstdint>
 #include <string>
@@ -13,15 +14,18 @@
 
 namespace sapphiremoor {
 
-/// Identifies one request for a job: the VM that holds the caller's connection,
-/// and the number that this VM gave the request.
+/// Identifies one request for a job: the process that holds the caller's
+/// connection, and the number that this process gave the request. Each process
+/// of a VM counts its requests anew.
 struct JobSource {
-  std::string Vm;
+  VmId Process;
   uint64_t Request = 0;
 
   auto operator<=>(const JobSource &) const = default;
 
-  template <typename Archive> void serialize(Archive &Ar) { Ar(Vm, Request); }
+  template <typename Archive> void serialize(Archive &Ar) {
+    Ar(Process, Request);
+  }
 };
 
 enum class JobResult : uint8_t {
@@ -66,7 +70,8 @@
   JobReason Reason = JobReason::None;
   /// With Overloaded: time after which capacity is expected to be free.
   int64_t RetryAfterMs = 0;
-  /// With Redirected: VM to which the job has to be sent.
+  /// With Redirected: VM to which the job has to be sent, to whichever process
+  /// it has then.
   std::string Target;
 
   template <typename Archive> void serialize(Archive &Ar) {
--- a/src/framework/net/internal/peermesh.cpp
+++ b/src/framework/net/internal/peermesh.cpp
@@ -67,8 +67,8 @@
   DialTargets.erase(RemoteEndpoint);
 }
 
-bool PeerMesh::send(const std::string &Name, std::string_view Payload) {
-  PeerLink *Link = newestLink(Name);
+bool PeerMesh::send(const VmId &Peer, std::string_view Payload) {
+  PeerLink *Link = newestLink(Peer);
   return Link != nullptr && Link->pendingBytes() <= Limits.MaxPendingBytes &&
          Link->send(Payload);
 }
@@ -79,8 +79,13 @@
       Link->send(Payload);
 }
 
-std::size_t PeerMesh::pendingBytes(const std::string &Name) const {
-  const PeerLink *Link = newestLink(Name);
+std::optional<VmId> PeerMesh::reachable(const std::string &Name) const {
+  const auto UpIt = UpPeers.find(Name);
+  return UpIt == UpPeers.end() ? std::nullopt : std::optional(UpIt->second);
+}
+
+std::size_t PeerMesh::pendingBytes(const VmId &Peer) const {
+  const PeerLink *Link = newestLink(Peer);
   return Link == nullptr ? 0 : Link->pendingBytes();
 }
 
@@ -178,6 +183,13 @@
   return nullptr;
 }
 
+PeerLink *PeerMesh::newestLink(const VmId &Peer) const {
+  for (const auto &Link : std::views::reverse(Links))
+    if (Link->open() && Link->remote() == Peer)
+      return Link.get();
+  return nullptr;
+}
+
 void PeerMesh::updatePeerState(const std::string &Name) {
   const PeerLink *Link = newestLink(Name);
   const auto UpIt = UpPeers.find(Name);
--- a/src/framework/net/peermesh.h
+++ b/src/framework/net/peermesh.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -44,10 +45,11 @@
   /// Stops dialling \p RemoteEndpoint. An open link stays until it breaks.
   void stopDialling(const Endpoint &RemoteEndpoint);
 
-  /// Sends \p Payload on the newest link to the VM \p Name. Returns false if
-  /// there is no open link or if more than PeerLimits::MaxPendingBytes are
-  /// unsent on it.
-  bool send(const std::string &Name, std::string_view Payload);
+  /// Sends \p Payload on the newest link to the process \p Peer. Returns false
+  /// if there is no open link to this process, even if there is one to another
+  /// process of its VM, or if more than PeerLimits::MaxPendingBytes are unsent
+  /// on it.
+  bool send(const VmId &Peer, std::string_view Payload);
   /// Sends \p Payload once on every open link, including parallel links to the
   /// same VM. Links with more than PeerLimits::MaxPendingBytes unsent bytes are
   /// skipped.
@@ -57,11 +59,10 @@
   /// Dialled links are dialled again.
   void closeAll();
 
-  bool reachable(const std::string &Name) const {
-    return UpPeers.contains(Name);
-  }
-  /// Returns the number of unsent bytes on the newest link to \p Name.
-  std::size_t pendingBytes(const std::string &Name) const;
+  /// Returns the process of the VM \p Name that is reachable, if any.
+  std::optional<VmId> reachable(const std::string &Name) const;
+  /// Returns the number of unsent bytes on the newest link to \p Peer.
+  std::size_t pendingBytes(const VmId &Peer) const;
 
 private:
   struct DialTarget;
@@ -78,6 +79,7 @@
   void updatePeerState(const std::string &Name);
   void checkSilence();
   detail::PeerLink *newestLink(const std::string &Name) const;
+  detail::PeerLink *newestLink(const VmId &Peer) const;
 
   EventLoop &Loop;
   VmId Self;
--- a/src/framework/net/tests/peermesh_test.cpp
+++ b/src/framework/net/tests/peermesh_test.cpp
@@ -59,7 +59,7 @@
 }
 
 /// Runs \p Loop until all messages of \p Sender to \p Peer are written.
-void flush(EventLoop &Loop, const MeshNode &Sender, const std::string &Peer) {
+void flush(EventLoop &Loop, const MeshNode &Sender, const VmId &Peer) {
   while (Sender.Mesh.pendingBytes(Peer) > 0)
     Loop.runOnce(true);
 }
@@ -97,8 +97,8 @@
   A.Mesh.dial({"127.0.0.1", B.Port});
   while (A.PeersUp.empty() || B.PeersUp.empty())
     Loop.runOnce(true);
-  CHECK(A.Mesh.send("b", "to b"));
-  CHECK(B.Mesh.send("a", "to a"));
+  CHECK(A.Mesh.send({"b", 2}, "to b"));
+  CHECK(B.Mesh.send({"a", 1}, "to a"));
   while (A.Messages.empty() || B.Messages.empty())
     Loop.runOnce(true);
   CHECK(A.Messages.front() == std::pair<std::string, std::string>("b", "to a"));
@@ -121,6 +121,30 @@
   CHECK(A.PeersDown.empty());
 }
 
+// Guards against an answer to a process that reaches the next process of its
+// VM, which takes it for the answer to a request of its own.
+TEST_CASE("a message to a process is not sent to the next process of its VM") {
+  EventLoop Loop;
+  MeshNode A(Loop, {"a", 1});
+  auto Former = std::make_unique<MeshNode>(Loop, VmId{"b", 2});
+  Former->Mesh.dial({"127.0.0.1", A.Port});
+  while (A.PeersUp.empty())
+    Loop.runOnce(true);
+  CHECK(A.Mesh.send({"b", 2}, "to the former process"));
+  while (Former->Messages.empty())
+    Loop.runOnce(true);
+  Former.reset();
+  MeshNode Successor(Loop, {"b", 3});
+  Successor.Mesh.dial({"127.0.0.1", A.Port});
+  while (A.Mesh.reachable("b") != VmId{"b", 3})
+    Loop.runOnce(true);
+  CHECK_FALSE(A.Mesh.send({"b", 2}, "to the former process"));
+  CHECK(A.Mesh.send({"b", 3}, "to its successor"));
+  while (Successor.Messages.empty())
+    Loop.runOnce(true);
+  CHECK(Successor.Messages.front().second == "to its successor");
+}
+
 // Guards against a silent peer that is never reported down.
 TEST_CASE("a silent peer is reported down, and up once it is redialled") {
   EventLoop Loop;
@@ -132,7 +156,7 @@
   CHECK(A.PeersDown.front() == VmId{"b", 2});
   while (A.PeersUp.size() < 2)
     Loop.runOnce(true);
-  CHECK(A.Mesh.reachable("b"));
+  CHECK(A.Mesh.reachable("b") == VmId{"b", 2});
 }
 
 // Guards against a VM that dials itself when its own address is among the
@@ -155,9 +179,9 @@
   MeshNode B(LoopB, {"b", 2});
   connectMeshes(LoopA, A, LoopB, B);
   B.CloseOnMessage = true;
-  CHECK(A.Mesh.send("b", "first"));
-  CHECK(A.Mesh.send("b", "second"));
-  flush(LoopA, A, "b");
+  CHECK(A.Mesh.send({"b", 2}, "first"));
+  CHECK(A.Mesh.send({"b", 2}, "second"));
+  flush(LoopA, A, {"b", 2});
   while (B.Messages.empty())
     LoopB.runOnce(true);
   for (int Round = 0; Round < SeveralRounds; ++Round)
@@ -180,8 +204,8 @@
     LoopB.runOnce(false);
   // The message is read before the greeting, in one round of the loop.
   B.CloseOnMessage = true;
-  CHECK(A.Mesh.send("b", "message"));
-  flush(LoopA, A, "b");
+  CHECK(A.Mesh.send({"b", 2}, "message"));
+  flush(LoopA, A, {"b", 2});
   sendHello(Fd, {"c", 3});
   while (B.Messages.empty())
     LoopB.runOnce(true);
