Give each process of a VM its own ballots of the configuration

What callers would see: a change that was acknowledged, and then reads at some control VMs and entry VMs that show the version before it, for as long as no further change comes.

Cause: a ballot had a round and the address of the proposer. A round is durable at the proposer only some time after it is used; a majority of the other voters may decide it before. A process that is killed meanwhile (its disk hangs) leaves a successor that counts from the older round and gives the same ballot to another value. Voters that had learned the first value under this ballot ignore the second one, and reads compare ballots only.

Change: the proposer in a ballot is the process ("address:port#incarnation"), as it was for stored jobs already. The format on disk and between VMs is the same.

"a round asks for all values that are newer than its own" spelled a ballot out; it now names the process, and checks as much as before.

--- a/src/cluster/internal/registerservice.cpp
+++ b/src/cluster/internal/registerservice.cpp
@@ -94,7 +94,8 @@
   const Result<RecoveredFolder> Recovered = Storage.open();
   if (isError(Recovered))
     return errorOf(Recovered);
-  RegisterStart Start{describe(Settings.AdvertisedPeer), {}, {}};
+  RegisterStart Start{
+      {describe(Settings.AdvertisedPeer), Bus.self().Incarnation}, {}, {}};
   if (valueOf(Recovered).State) {
     Result<AcceptorState> State = decodeStoredState(*valueOf(Recovered).State);
     if (isError(State))
--- a/src/versionregister/internal/registernode.cpp
+++ b/src/versionregister/internal/registernode.cpp
@@ -14,7 +14,8 @@
 
 RegisterNode::RegisterNode(const RegisterStart &Start,
                            const RegisterLimits &Limits, uint64_t Seed)
-    : Self(Start.Self), Limits(Limits), Rng(Seed),
+    : Self(Start.Self.Address), Proposer(processName(Start.Self)),
+      Limits(Limits), Rng(Seed),
       RoundTimeout(Limits.FirstRoundTimeout, Limits.LongestRoundTimeout) {
   if (Start.StoredState) {
     State = *Start.StoredState;
@@ -255,7 +256,7 @@
 
 void RegisterNode::startRound(Instant Now) {
   CurrentRound.emplace();
-  CurrentRound->RoundBallot = {++HighestRound, Self};
+  CurrentRound->RoundBallot = {++HighestRound, Proposer};
   CurrentRound->Started = Now;
   CurrentRound->LastSent = Now;
   CurrentRound->Recovering = !Voting && isVoter(Voters, Self);
--- a/src/versionregister/registernode.h
+++ b/src/versionregister/registernode.h
@@ -3,6 +3,7 @@
 
 #include "framework/core/random.h"
 #include "framework/core/time.h"
+#include "framework/core/types/peerprocess.h"
 #include "versionregister/internal/backoff.h"
 #include "versionregister/internal/proposer.h"
 #include "versionregister/types/acceptorstate.h"
@@ -36,8 +37,8 @@
 
 /// Initial state of a RegisterNode.
 struct RegisterStart {
-  /// Address of this VM, which identifies it as a voter.
-  std::string Self;
+  /// This process. Its address identifies the VM as a voter.
+  PeerProcess Self;
   /// State that was found on the disk, if any.
   std::optional<AcceptorState> StoredState;
   /// Voters of a new deployment. Set only when the whole deployment starts for
@@ -138,7 +139,11 @@
   void startRoundIfNeeded(Instant Now);
   void expireOperations(Instant Now);
 
+  /// Address of this VM.
   std::string Self;
+  /// Name of this process in ballots. Another process of this VM may start from
+  /// the same round, because a ballot is used before it is durable here.
+  std::string Proposer;
   RegisterLimits Limits;
   Random Rng;
   AcceptorState State;
--- a/src/versionregister/tests/register_test.cpp
+++ b/src/versionregister/tests/register_test.cpp
@@ -96,6 +96,34 @@
   CHECK(Network.EndedOperations.at({"v2", Read}).Newest.Body == "seven");
 }
 
+// Guards against two values under one ballot: a VM whose disk had hung used the
+// ballot of its former process again, and voters that had learned the former
+// value under this ballot never learned the new one.
+TEST_CASE("a change after a restart on a slow disk is read at all VMs") {
+  for (uint64_t Seed = 1; Seed <= 20; ++Seed) {
+    CAPTURE(Seed);
+    RegisterNetwork Network(3, Seed);
+    const uint64_t First = Network.put("v0", {7, "seven"});
+    Network.run(400);
+    REQUIRE(decided(Network, "v0", First));
+    Network.StalledDisks = {"v0"};
+    const uint64_t Second = Network.put("v0", {8, "eight"});
+    Network.run(400);
+    REQUIRE(decided(Network, "v0", Second));
+    Network.crash("v0", false);
+    Network.StalledDisks.clear();
+    Network.restart("v0");
+    const uint64_t Third = Network.put("v0", {9, "nine"});
+    Network.run(400);
+    REQUIRE(decided(Network, "v0", Third));
+    const uint64_t Read = Network.read("v1");
+    Network.run(400);
+    REQUIRE(decided(Network, "v1", Read));
+    CHECK(Network.EndedOperations.at({"v1", Read}).Newest.Version == 9);
+    CHECK(Network.Violations.empty());
+  }
+}
+
 // Guards against lost or duplicated versions under lost messages, concurrent
 // proposers, crashes and one wiped disk at a time.
 TEST_CASE("random faults never lose, duplicate or reverse a version") {
@@ -200,13 +228,13 @@
   const VoterSet NewVoters{2, {"a", "b", "d"}};
   const Ballot Stored{1, "a"};
   const Ballot Newer{2, "b"};
-  RegisterStart Start{"a", AcceptorState{}, {}};
+  RegisterStart Start{{"a", 1}, AcceptorState{}, {}};
   Start.StoredState =
       AcceptorState{Stored, Stored, {{1, "one"}, Voters}, Stored, Voters};
   RegisterNode Node(Start, RegisterLimits{}, 1);
   const Instant Now;
   Node.put({3, "three"}, Now);
-  const Ballot Round{2, "a"};
+  const Ballot Round{2, processName({"a", 1})};
   Node.receive("b", ChosenValue{Newer, {{2, "two"}, NewVoters}}, Now);
   Node.receive(
       "b",
--- a/src/versionregister/tests/registernetwork.cpp
+++ b/src/versionregister/tests/registernetwork.cpp
@@ -16,12 +16,12 @@
 
 void RegisterNetwork::start(const std::string &Name, bool Initial) {
   Member &Process = Nodes.at(Name);
-  RegisterStart Start{Name, Process.Disk, {}};
+  Process.Incarnation = ++Incarnations;
+  RegisterStart Start{{Name, Process.Incarnation}, Process.Disk, {}};
   if (Initial)
     Start.InitialVoters = VoterSet{1, Names};
   Process.Node = std::make_unique<RegisterNode>(Start, RegisterLimits{}, Rng());
   Process.HighestVersion = 0;
-  Process.Incarnation = ++Incarnations;
   processEffects(Name);
 }
 
@@ -70,7 +70,7 @@
 void RegisterNetwork::sync() {
   const std::string &Name = Names[Rng() % Names.size()];
   Member &Process = Nodes.at(Name);
-  if (isDown(Name) || Process.Unsynced.empty())
+  if (isDown(Name) || Process.Unsynced.empty() || StalledDisks.contains(Name))
     return;
   confirmWrite(Name, std::exchange(Process.Unsynced, {}).back());
 }
--- a/src/versionregister/tests/registernetwork.h
+++ b/src/versionregister/tests/registernetwork.h
@@ -46,6 +46,8 @@
   /// Messages that are delivered and, with random writes, disks that are synced
   /// in a step.
   std::size_t EventsPerStep = 1;
+  /// Nodes whose writes do not end.
+  std::set<std::string> StalledDisks;
   /// True if nodes that know a chosen value keep asking for a newer one.
   bool RequestsNewerValues = false;
   Instant Now;
--- a/src/versionregister/types/ballot.h
+++ b/src/versionregister/types/ballot.h
@@ -11,6 +11,8 @@
 /// is below all rounds.
 struct Ballot {
   uint64_t Round = 0;
+  /// Name of the proposing process, not of its VM: the next process of the VM
+  /// may count from the same round.
   std::string Proposer;
 
   auto operator<=>(const Ballot &) const = default;
