Send replies of voters and copies only to the process that asked

What callers would see: a read of the configuration that shows an older version than one that was acknowledged before the read; in the same way, a control VM that goes on running stored jobs that another one has taken over.

Cause: voters of the configuration and copies of the stored jobs sent their replies to an address. A reply may wait for a disk or on the way, and each process numbers its reads and lease renewals from 1, so a reply to a former process counted as a reply to its successor. Replies to ballots and to writes were safe: their names contain the process.

Change: receive() takes a process (address and incarnation), and a reply (RegisterReply, CopyReply) has a process as its receiver; requests still go to an address. A reply whose receiver is gone is dropped, and the successor asks again. The messages are the same.

The simulated networks deliver replies as the bus does.

--- a/src/cluster/clusterbus.h
+++ b/src/cluster/clusterbus.h
@@ -57,6 +57,13 @@
   const VmId &self() const { return Self; }
   /// Returns the address under which other VMs reach this one.
   const Endpoint &address() const { return Settings.AdvertisedPeer; }
+  /// Returns this process under the address of its VM.
+  PeerProcess selfProcess() const {
+    return {describe(address()), Self.Incarnation};
+  }
+  /// Returns the id of a process of another VM, unless it is unknown or its VM
+  /// has another process now.
+  std::optional<VmId> findProcess(const PeerProcess &Process) const;
   const std::string &dataCentre() const { return Settings.DataCentre; }
   /// Returns the process of the VM \p Name to which there is a link, if any.
   std::optional<VmId> linkedProcess(const std::string &Name) const {
--- a/src/cluster/internal/clusterbus.cpp
+++ b/src/cluster/internal/clusterbus.cpp
@@ -83,6 +83,13 @@
   return Mesh.send(Peer, encode(Message));
 }
 
+std::optional<VmId> ClusterBus::findProcess(const PeerProcess &Process) const {
+  const MemberInfo *Member = View.findByAddress(Process.Address);
+  return Member != nullptr && peerProcess(*Member) == Process
+             ? std::optional(Member->Id)
+             : std::nullopt;
+}
+
 void ClusterBus::sendToRole(MemberRole Role, const ClusterMessage &Message) {
   const std::string Bytes = encode(Message);
   for (const MemberInfo &Member : View.members(Role))
--- a/src/cluster/internal/jobstoreservice.cpp
+++ b/src/cluster/internal/jobstoreservice.cpp
@@ -122,30 +122,33 @@
   const MemberInfo *Member = Bus.members().find(Sender);
   if (Member == nullptr)
     return;
-  const std::string SenderAddress = describe(Member->PeerEndpoint);
   if (const auto *Notice = std::get_if<RunEndNotice>(&Message))
     handlePeerRunEnd(Sender, *Notice);
   else if (const auto *EndStored = std::get_if<RunEndStored>(&Message))
     handleRunEndStored(*EndStored);
   else if (const auto *Location = std::get_if<JobLocation>(&Message))
-    handleJobLocation(SenderAddress, *Location);
-  LocalCopy->receive(SenderAddress, Message, Loop.now());
-  Writer.receive(SenderAddress, Message, Loop.now());
-  run();
-  Dispatch.run();
+    handleJobLocation(describe(Member->PeerEndpoint), *Location);
+  receive(peerProcess(*Member), Message);
 }
 
-void JobStoreService::deliverToSelf(const JobStoreMessage &Message) {
-  Dispatch.checkStall();
-  LocalCopy->receive(describe(Settings.AdvertisedPeer), Message, Loop.now());
-  Writer.receive(describe(Settings.AdvertisedPeer), Message, Loop.now());
+void JobStoreService::receive(const PeerProcess &Sender,
+                              const JobStoreMessage &Message) {
+  LocalCopy->receive(Sender, Message, Loop.now());
+  Writer.receive(Sender.Address, Message, Loop.now());
   run();
   Dispatch.run();
 }
 
+void JobStoreService::receiveFromSelf(const JobStoreMessage &Message) {
+  Loop.post([this, Message] {
+    Dispatch.checkStall();
+    receive(Bus.selfProcess(), Message);
+  });
+}
+
 void JobStoreService::perform(const SendToCopy &Effect) {
   if (Effect.Address == describe(Settings.AdvertisedPeer)) {
-    Loop.post([this, Content = Effect.Message] { deliverToSelf(Content); });
+    receiveFromSelf(Effect.Message);
     return;
   }
   const MemberInfo *Member = Bus.members().findByAddress(Effect.Address);
@@ -153,6 +156,13 @@
     Bus.send(Member->Id, Effect.Message);
 }
 
+void JobStoreService::perform(const CopyReply &Effect) {
+  if (Effect.Receiver == Bus.selfProcess())
+    receiveFromSelf(Effect.Message);
+  else if (const auto Receiver = Bus.findProcess(Effect.Receiver))
+    Bus.send(*Receiver, Effect.Message);
+}
+
 void JobStoreService::perform(const AppendEntry &Effect) {
   LastEntry = Effect.Number;
   std::string Bytes = encode(Effect.Entry);
--- a/src/cluster/internal/registerservice.cpp
+++ b/src/cluster/internal/registerservice.cpp
@@ -94,8 +94,7 @@
   const Result<RecoveredFolder> Recovered = Storage.open();
   if (isError(Recovered))
     return errorOf(Recovered);
-  RegisterStart Start{
-      {describe(Settings.AdvertisedPeer), Bus.self().Incarnation}, {}, {}};
+  RegisterStart Start{Bus.selfProcess(), {}, {}};
   if (valueOf(Recovered).State) {
     Result<AcceptorState> State = decodeStoredState(*valueOf(Recovered).State);
     if (isError(State))
@@ -139,7 +138,7 @@
   const MemberInfo *Member = Bus.members().find(Sender);
   if (Member == nullptr)
     return;
-  Node->receive(describe(Member->PeerEndpoint), Message, Loop.now());
+  Node->receive(peerProcess(*Member), Message, Loop.now());
   run();
 }
 
@@ -161,6 +160,8 @@
 void RegisterService::perform(const RegisterEffect &Effect) {
   if (const auto *Send = std::get_if<SendToVoter>(&Effect))
     sendToVoter(*Send);
+  else if (const auto *Reply = std::get_if<RegisterReply>(&Effect))
+    reply(*Reply);
   else if (const auto *Store = std::get_if<StoreState>(&Effect))
     store(*Store);
   else if (const auto *Ended = std::get_if<OperationEnded>(&Effect))
@@ -192,16 +193,27 @@
 
 void RegisterService::sendToVoter(const SendToVoter &Message) {
   if (Message.Receiver == describe(Settings.AdvertisedPeer)) {
-    Loop.post([this, Content = Message.Message] {
-      Node->receive(describe(Settings.AdvertisedPeer), Content, Loop.now());
-      run();
-    });
+    receiveFromSelf(Message.Message);
     return;
   }
   if (const MemberInfo *Member = Bus.members().findByAddress(Message.Receiver))
     Bus.send(Member->Id, Message.Message);
 }
 
+void RegisterService::reply(const RegisterReply &Reply) {
+  if (Reply.Receiver == Bus.selfProcess())
+    receiveFromSelf(Reply.Message);
+  else if (const auto Receiver = Bus.findProcess(Reply.Receiver))
+    Bus.send(*Receiver, Reply.Message);
+}
+
+void RegisterService::receiveFromSelf(const RegisterMessage &Message) {
+  Loop.post([this, Message] {
+    Node->receive(Bus.selfProcess(), Message, Loop.now());
+    run();
+  });
+}
+
 void RegisterService::store(const StoreState &Effect) {
   UnsyncedWrites.emplace(Effect.Number, Loop.now());
   Storage.submit({Effect.Number, ReplaceState{encode(Effect.State)}});
--- a/src/cluster/jobstoreservice.h
+++ b/src/cluster/jobstoreservice.h
@@ -73,13 +73,17 @@
 
   void run();
   void perform(const SendToCopy &Effect);
+  void perform(const CopyReply &Effect);
   void perform(const AppendEntry &Effect);
   void perform(const JobStored &Effect);
   void perform(const JobHeldElsewhere &Effect);
   void perform(const ProgressStored &Effect);
   void perform(const JobsLost &Effect);
   void perform(const EndsForgotten &Effect);
-  void deliverToSelf(const JobStoreMessage &Message);
+  /// Delivers a message of this VM to itself.
+  void receiveFromSelf(const JobStoreMessage &Message);
+  /// Passes a message to the copy and to the writer.
+  void receive(const PeerProcess &Sender, const JobStoreMessage &Message);
   void confirmDurable(const std::vector<uint64_t> &Numbers);
   /// Replaces the log by a snapshot of the copy. The reply has the number
   /// \p ReplyNumber.
--- a/src/cluster/registerservice.h
+++ b/src/cluster/registerservice.h
@@ -67,6 +67,9 @@
   /// Has the bus dial the voters.
   void announceVoters();
   void sendToVoter(const SendToVoter &Message);
+  void reply(const RegisterReply &Reply);
+  /// Delivers a message of this VM to itself.
+  void receiveFromSelf(const RegisterMessage &Message);
   void store(const StoreState &Effect);
   void confirmStored(const std::vector<uint64_t> &Numbers);
   void storeAgain();
--- a/src/discovery/types/memberinfo.h
+++ b/src/discovery/types/memberinfo.h
@@ -2,6 +2,7 @@
 #define SAPPHIREMOOR_DISCOVERY_TYPES_MEMBERINFO_H
 
 #include "framework/core/types/endpoint.h"
+#include "framework/core/types/peerprocess.h"
 #include "framework/core/types/vmid.h"
 
 #include <compare>
@@ -35,6 +36,11 @@
   }
 };
 
+/// Returns the process under the address of its VM.
+inline PeerProcess peerProcess(const MemberInfo &Member) {
+  return {describe(Member.PeerEndpoint), Member.Id.Incarnation};
+}
+
 /// A VM that the sender heard directly, and how long ago.
 struct MemberSighting {
   MemberInfo Info;
--- a/src/jobstore/internal/jobcopy.cpp
+++ b/src/jobstore/internal/jobcopy.cpp
@@ -97,7 +97,7 @@
   append(State.Status);
 }
 
-void JobCopy::receive(const std::string &Sender, const JobStoreMessage &Message,
+void JobCopy::receive(const PeerProcess &Sender, const JobStoreMessage &Message,
                       Instant Now) {
   std::visit([&](const auto &Value) { handle(Sender, Value, Now); }, Message);
 }
@@ -138,12 +138,16 @@
   Effects.emplace_back(AppendEntry{++LastAppend, std::move(Entry)});
 }
 
-void JobCopy::sendWhenDurable(const std::string &Address,
-                              JobStoreMessage Message) {
+void JobCopy::reply(const PeerProcess &Receiver, JobStoreMessage Message) {
+  Effects.emplace_back(CopyReply{Receiver, std::move(Message)});
+}
+
+void JobCopy::replyWhenDurable(const PeerProcess &Receiver,
+                               JobStoreMessage Message) {
   if (LastAppend == LastDurable)
-    Effects.emplace_back(SendToCopy{Address, std::move(Message)});
+    reply(Receiver, std::move(Message));
   else
-    PendingReplies.emplace(LastAppend, SendToCopy{Address, std::move(Message)});
+    PendingReplies.emplace(LastAppend, CopyReply{Receiver, std::move(Message)});
 }
 
 std::vector<CopyIdentity> JobCopy::copyIdentities() const {
@@ -163,7 +167,7 @@
   return false;
 }
 
-void JobCopy::handle(const std::string &Sender, const WriteJobs &Request,
+void JobCopy::handle(const PeerProcess &Sender, const WriteJobs &Request,
                      Instant Now) {
   if (isObsoleteEpoch(Request.Epoch))
     return;
@@ -181,7 +185,7 @@
   // A VM that is not a voter replies too, so that its copy receives all writes.
   // The writer counts only voters.
   if (!rebuilding())
-    sendWhenDurable(Sender, std::move(Reply));
+    replyWhenDurable(Sender, std::move(Reply));
 }
 
 void JobCopy::storeJob(const PartitionOwnership &Ownership,
@@ -213,7 +217,7 @@
   Reply.Stored.push_back({Write.Id, find(Write.Id)->Version});
 }
 
-void JobCopy::handle(const std::string &Sender, const RenewWriterLease &Request,
+void JobCopy::handle(const PeerProcess &Sender, const RenewWriterLease &Request,
                      Instant) {
   if (isObsoleteEpoch(Request.Epoch) || !State.Status.Complete)
     return;
@@ -224,10 +228,10 @@
   // The reply contains nothing but promises, and reporting one that is not yet
   // durable is safe. Waiting for a slow disk would let the writer's lease
   // expire.
-  Effects.emplace_back(SendToCopy{Sender, std::move(Reply)});
+  reply(Sender, std::move(Reply));
 }
 
-void JobCopy::handle(const std::string &Sender, const ClaimPartition &Request,
+void JobCopy::handle(const PeerProcess &Sender, const ClaimPartition &Request,
                      Instant) {
   if (isObsoleteEpoch(Request.Epoch) || !State.Status.Complete)
     return;
@@ -242,15 +246,15 @@
       if (Job.Partition == Ownership.Partition)
         Reply.Jobs.push_back(Job);
   }
-  sendWhenDurable(Sender, std::move(Reply));
+  replyWhenDurable(Sender, std::move(Reply));
 }
 
-void JobCopy::handle(const std::string &Sender, const FetchCopy &Request,
+void JobCopy::handle(const PeerProcess &Sender, const FetchCopy &Request,
                      Instant) {
   if (isObsoleteEpoch(Request.Epoch) || !State.Status.Complete)
     return;
-  if (State.RebuiltCopies[Sender] != Request.CopyId) {
-    const RebuiltEntry Entry{{Sender, Request.CopyId}};
+  if (State.RebuiltCopies[Sender.Address] != Request.CopyId) {
+    const RebuiltEntry Entry{{Sender.Address, Request.CopyId}};
     applyEntry(State, Entry);
     append(Entry);
   }
@@ -261,12 +265,12 @@
   Page.Last = It == State.Jobs.end();
   for (const auto &[Partition, WriterBallot] : State.Promises)
     Page.Promises.push_back({Partition, WriterBallot});
-  sendWhenDurable(Sender, std::move(Page));
+  replyWhenDurable(Sender, std::move(Page));
 }
 
-void JobCopy::handle(const std::string &Sender, const CopyPage &Page,
+void JobCopy::handle(const PeerProcess &Sender, const CopyPage &Page,
                      Instant Now) {
-  const auto PositionIt = Rebuild.PagePositions.find(Sender);
+  const auto PositionIt = Rebuild.PagePositions.find(Sender.Address);
   if (State.Status.Complete || PositionIt == Rebuild.PagePositions.end() ||
       PositionIt->second != Page.AfterId)
     return;
@@ -289,14 +293,14 @@
     PositionIt->second = Id;
   }
   if (Page.Last)
-    Rebuild.CompletedVms.insert(Sender);
+    Rebuild.CompletedVms.insert(Sender.Address);
   checkComplete();
   NextPageRequest = Now;
   if (!State.Status.Complete)
     requestPages(Now);
 }
 
-void JobCopy::handle(const std::string &Sender, const LocateJob &Request,
+void JobCopy::handle(const PeerProcess &Sender, const LocateJob &Request,
                      Instant) {
   if (!isComplete())
     return;
@@ -304,7 +308,7 @@
   JobLocation Location{Request.Job, Job != nullptr, {}};
   if (Job != nullptr)
     Location.Writer = partitionWriter(Job->Partition);
-  Effects.emplace_back(SendToCopy{Sender, std::move(Location)});
+  reply(Sender, std::move(Location));
 }
 
 void JobCopy::checkComplete() {
--- a/src/jobstore/jobcopy.h
+++ b/src/jobstore/jobcopy.h
@@ -35,7 +35,7 @@
 
   /// Sets the current voters. A VM that becomes a voter rebuilds its copy.
   void setVoters(const VoterSet &NewVoters);
-  void receive(const std::string &Sender, const JobStoreMessage &Message,
+  void receive(const PeerProcess &Sender, const JobStoreMessage &Message,
                Instant Now);
   /// Confirms that the log entry with this number and all earlier ones are
   /// durable.
@@ -71,16 +71,16 @@
     std::set<std::string> CompletedVms;
   };
 
-  void handle(const std::string &Sender, const WriteJobs &Request, Instant Now);
-  void handle(const std::string &Sender, const RenewWriterLease &Request,
+  void handle(const PeerProcess &Sender, const WriteJobs &Request, Instant Now);
+  void handle(const PeerProcess &Sender, const RenewWriterLease &Request,
               Instant Now);
-  void handle(const std::string &Sender, const ClaimPartition &Request,
+  void handle(const PeerProcess &Sender, const ClaimPartition &Request,
               Instant Now);
-  void handle(const std::string &Sender, const FetchCopy &Request, Instant Now);
-  void handle(const std::string &Sender, const CopyPage &Page, Instant Now);
-  void handle(const std::string &Sender, const LocateJob &Request, Instant Now);
+  void handle(const PeerProcess &Sender, const FetchCopy &Request, Instant Now);
+  void handle(const PeerProcess &Sender, const CopyPage &Page, Instant Now);
+  void handle(const PeerProcess &Sender, const LocateJob &Request, Instant Now);
   template <typename OtherMessage>
-  void handle(const std::string &, const OtherMessage &, Instant) {}
+  void handle(const PeerProcess &, const OtherMessage &, Instant) {}
 
   void storeJob(const PartitionOwnership &Ownership, const JobWrite &Write,
                 JobsWritten &Reply, Instant Now);
@@ -88,7 +88,8 @@
   void setComplete(bool Complete);
   std::vector<CopyIdentity> copyIdentities() const;
   void append(CopyEntry Entry);
-  void sendWhenDurable(const std::string &Address, JobStoreMessage Message);
+  void reply(const PeerProcess &Receiver, JobStoreMessage Message);
+  void replyWhenDurable(const PeerProcess &Receiver, JobStoreMessage Message);
   void requestPages(Instant Now);
   void checkComplete();
 
@@ -105,7 +106,7 @@
   bool EndedJobsScanned = false;
   uint64_t LastAppend = 0;
   uint64_t LastDurable = 0;
-  std::multimap<uint64_t, SendToCopy> PendingReplies;
+  std::multimap<uint64_t, CopyReply> PendingReplies;
   std::vector<CopyEffect> Effects;
 };
 
--- a/src/jobstore/tests/jobstorenetwork.cpp
+++ b/src/jobstore/tests/jobstorenetwork.cpp
@@ -209,14 +209,18 @@
 void JobStoreNetwork::deliver(const InFlight &Delivery) {
   const bool Lost =
       std::uniform_real_distribution<double>(0, 1)(Rng) < LossRate;
-  if (isDown(Delivery.Receiver) ||
-      Incarnations[Delivery.Sender] != Delivery.Incarnation ||
-      (Delivery.Sender != Delivery.Receiver &&
-       (Lost || !reachable(Delivery.Sender, Delivery.Receiver))))
+  const std::string &Sender = Delivery.Sender.Address;
+  const uint64_t ReceiverIncarnation = Incarnations[Delivery.Receiver];
+  const bool ForOtherProcess = Delivery.ReceiverIncarnation.value_or(
+                                   ReceiverIncarnation) != ReceiverIncarnation;
+  if (isDown(Delivery.Receiver) || ForOtherProcess ||
+      Incarnations[Sender] != Delivery.Sender.Incarnation ||
+      (Sender != Delivery.Receiver &&
+       (Lost || !reachable(Sender, Delivery.Receiver))))
     return;
   Vm &ThisVm = Vms.at(Delivery.Receiver);
   ThisVm.Copy->receive(Delivery.Sender, Delivery.Message, Now);
-  ThisVm.Writer->receive(Delivery.Sender, Delivery.Message, Now);
+  ThisVm.Writer->receive(Sender, Delivery.Message, Now);
   collectEffects(Delivery.Receiver);
 }
 
@@ -232,20 +236,27 @@
 
 void JobStoreNetwork::collectEffects(const std::string &Name) {
   Vm &ThisVm = Vms.at(Name);
-  const auto Enqueue = [&](const SendToCopy &Send) {
-    Messages.emplace(
-        Now + std::chrono::milliseconds(1 + Rng() % 12),
-        InFlight{Name, Send.Address, Incarnations[Name], Send.Message});
+  const auto Enqueue = [&](const std::string &Receiver,
+                           std::optional<uint64_t> ReceiverIncarnation,
+                           const JobStoreMessage &Message) {
+    Messages.emplace(Now + std::chrono::milliseconds(1 + Rng() % 12),
+                     InFlight{{Name, Incarnations[Name]},
+                              Receiver,
+                              ReceiverIncarnation,
+                              Message});
   };
   for (const CopyEffect &Effect : ThisVm.Copy->takeEffects()) {
     if (const auto *Send = std::get_if<SendToCopy>(&Effect))
-      Enqueue(*Send);
+      Enqueue(Send->Address, {}, Send->Message);
+    else if (const auto *Reply = std::get_if<CopyReply>(&Effect))
+      Enqueue(Reply->Receiver.Address, Reply->Receiver.Incarnation,
+              Reply->Message);
     else
       ThisVm.Unsynced.push_back(std::get<AppendEntry>(Effect));
   }
   for (const WriterEffect &Effect : ThisVm.Writer->takeEffects()) {
     if (const auto *Send = std::get_if<SendToCopy>(&Effect))
-      Enqueue(*Send);
+      Enqueue(Send->Address, {}, Send->Message);
     else if (const auto *Stored = std::get_if<JobStored>(&Effect))
       apply(Name, *Stored);
     else if (const auto *Progress = std::get_if<ProgressStored>(&Effect))
--- a/src/jobstore/tests/jobstorenetwork.h
+++ b/src/jobstore/tests/jobstorenetwork.h
@@ -7,6 +7,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -84,9 +85,10 @@
     Instant DownSince;
   };
   struct InFlight {
-    std::string Sender;
+    PeerProcess Sender;
     std::string Receiver;
-    uint64_t Incarnation = 0;
+    /// The process that gets a reply; absent for a request.
+    std::optional<uint64_t> ReceiverIncarnation;
     JobStoreMessage Message;
   };
 
--- a/src/jobstore/types/jobstoreeffect.h
+++ b/src/jobstore/types/jobstoreeffect.h
@@ -1,6 +1,7 @@
 #ifndef SAPPHIREMOOR_JOBSTORE_TYPES_JOBSTOREEFFECT_H
 #define SAPPHIREMOOR_JOBSTORE_TYPES_JOBSTOREEFFECT_H
 
+#include "framework/core/types/peerprocess.h"
 #include "jobstore/types/jobstoremessage.h"
 
 #include <cstdint>
@@ -11,12 +12,20 @@
 
 namespace sapphiremoor {
 
-/// Sends a message to the VM at an address.
+/// Sends a request to the copy of the VM at an address, whichever process it
+/// has.
 struct SendToCopy {
   std::string Address;
   JobStoreMessage Message;
 };
 
+/// Sends a reply of a copy to the process that asked for it, and to no other
+/// process of its VM: the numbers of its requests may be in use there again.
+struct CopyReply {
+  PeerProcess Receiver;
+  JobStoreMessage Message;
+};
+
 /// Log entry: the copy promises to reject lower ballots for a partition.
 struct PromiseEntry {
   PartitionOwnership Ownership;
@@ -80,7 +89,7 @@
   CopyEntry Entry;
 };
 
-using CopyEffect = std::variant<SendToCopy, AppendEntry>;
+using CopyEffect = std::variant<SendToCopy, CopyReply, AppendEntry>;
 
 /// The job is stored on a majority and may run. Emitted for new jobs and for
 /// jobs of partitions that were taken over.
--- a/src/versionregister/internal/registernode.cpp
+++ b/src/versionregister/internal/registernode.cpp
@@ -96,7 +96,7 @@
   startRoundIfNeeded(Now);
 }
 
-void RegisterNode::receive(const std::string &Sender,
+void RegisterNode::receive(const PeerProcess &Sender,
                            const RegisterMessage &Message, Instant Now) {
   std::visit([&](const auto &Alternative) { handle(Sender, Alternative, Now); },
              Message);
@@ -136,15 +136,20 @@
   Effects.emplace_back(StoreState{++LastStore, State});
 }
 
-void RegisterNode::sendDurable(const std::string &Receiver,
-                               RegisterMessage Message, uint64_t Store) {
+void RegisterNode::reply(const PeerProcess &Receiver, RegisterMessage Message) {
+  Effects.emplace_back(RegisterReply{Receiver, std::move(Message)});
+}
+
+void RegisterNode::replyDurable(const PeerProcess &Receiver,
+                                RegisterMessage Message, uint64_t Store) {
   if (Store <= LastDurable)
-    send(Receiver, std::move(Message));
+    reply(Receiver, std::move(Message));
   else
-    RepliesAfterStore.emplace(Store, SendToVoter{Receiver, std::move(Message)});
+    RepliesAfterStore.emplace(Store,
+                              RegisterReply{Receiver, std::move(Message)});
 }
 
-void RegisterNode::handle(const std::string &Sender,
+void RegisterNode::handle(const PeerProcess &Sender,
                           const PrepareRequest &Request, Instant) {
   if (!Voting)
     return;
@@ -153,10 +158,10 @@
   const PrepareReply Reply = detail::prepare(State, Request);
   if (State.Promised != OldPromised)
     store();
-  sendDurable(Sender, Reply, LastStore);
+  replyDurable(Sender, Reply, LastStore);
 }
 
-void RegisterNode::handle(const std::string &Sender, const PrepareReply &Reply,
+void RegisterNode::handle(const PeerProcess &Sender, const PrepareReply &Reply,
                           Instant Now) {
   HighestRound = std::max(HighestRound, Reply.Promised.Round);
   if (!CurrentRound || Reply.RoundBallot != CurrentRound->RoundBallot)
@@ -165,11 +170,11 @@
     abandonRound(Now, RoundOutcome::Overtaken);
     return;
   }
-  if (detail::recordPromise(*CurrentRound, Sender, Reply))
+  if (detail::recordPromise(*CurrentRound, Sender.Address, Reply))
     continueFirstPhase(Now);
 }
 
-void RegisterNode::handle(const std::string &Sender,
+void RegisterNode::handle(const PeerProcess &Sender,
                           const AcceptRequest &Request, Instant) {
   if (!Voting)
     return;
@@ -180,10 +185,10 @@
     store();
     AcceptedStore = LastStore;
   }
-  sendDurable(Sender, Reply, LastStore);
+  replyDurable(Sender, Reply, LastStore);
 }
 
-void RegisterNode::handle(const std::string &Sender, const AcceptReply &Reply,
+void RegisterNode::handle(const PeerProcess &Sender, const AcceptReply &Reply,
                           Instant Now) {
   HighestRound = std::max(HighestRound, Reply.Promised.Round);
   if (!CurrentRound || Reply.RoundBallot != CurrentRound->RoundBallot ||
@@ -193,25 +198,25 @@
     abandonRound(Now, RoundOutcome::Overtaken);
     return;
   }
-  CurrentRound->Accepted.insert(Sender);
+  CurrentRound->Accepted.insert(Sender.Address);
   if (detail::hasMajorityInAllSets(*CurrentRound, CurrentRound->Accepted))
     finishRound(Now);
 }
 
-void RegisterNode::handle(const std::string &Sender, const ReadRequest &Request,
+void RegisterNode::handle(const PeerProcess &Sender, const ReadRequest &Request,
                           Instant) {
   if (Voting)
-    sendDurable(Sender, ReadReply{Request.Number, State.Accepted},
-                AcceptedStore);
+    replyDurable(Sender, ReadReply{Request.Number, State.Accepted},
+                 AcceptedStore);
 }
 
-void RegisterNode::handle(const std::string &Sender, const ReadReply &Reply,
+void RegisterNode::handle(const PeerProcess &Sender, const ReadReply &Reply,
                           Instant Now) {
   const auto It = PendingReads.find(Reply.Number);
   if (It == PendingReads.end())
     return;
   PendingRead &Read = It->second;
-  Read.Replies[Sender] = Reply.Accepted;
+  Read.Replies[Sender.Address] = Reply.Accepted;
   std::set<std::string> Answered;
   std::ranges::transform(Read.Replies, std::inserter(Answered, Answered.end()),
                          [](const auto &Entry) { return Entry.first; });
@@ -233,15 +238,15 @@
   startRoundIfNeeded(Now);
 }
 
-void RegisterNode::handle(const std::string &, const ChosenValue &Chosen,
+void RegisterNode::handle(const PeerProcess &, const ChosenValue &Chosen,
                           Instant Now) {
   learn(Chosen, Now);
 }
 
-void RegisterNode::handle(const std::string &Sender, const ChosenRequest &,
+void RegisterNode::handle(const PeerProcess &Sender, const ChosenRequest &,
                           Instant) {
   if (NewestChosen)
-    send(Sender, *NewestChosen);
+    reply(Sender, *NewestChosen);
 }
 
 void RegisterNode::startRoundIfNeeded(Instant Now) {
--- a/src/versionregister/registernode.h
+++ b/src/versionregister/registernode.h
@@ -67,7 +67,7 @@
   /// started. Does nothing unless their epoch follows the current one.
   void changeVoters(const VoterSet &NewVoters, Instant Now);
 
-  void receive(const std::string &Sender, const RegisterMessage &Message,
+  void receive(const PeerProcess &Sender, const RegisterMessage &Message,
                Instant Now);
   /// Notes that the state of the StoreState effect \p Number is durable.
   void confirmStored(uint64_t Number);
@@ -91,26 +91,27 @@
     std::map<std::string, Ballot> Replies;
   };
 
-  void handle(const std::string &Sender, const PrepareRequest &Request,
+  void handle(const PeerProcess &Sender, const PrepareRequest &Request,
               Instant Now);
-  void handle(const std::string &Sender, const PrepareReply &Reply,
+  void handle(const PeerProcess &Sender, const PrepareReply &Reply,
               Instant Now);
-  void handle(const std::string &Sender, const AcceptRequest &Request,
+  void handle(const PeerProcess &Sender, const AcceptRequest &Request,
               Instant Now);
-  void handle(const std::string &Sender, const AcceptReply &Reply, Instant Now);
-  void handle(const std::string &Sender, const ReadRequest &Request,
+  void handle(const PeerProcess &Sender, const AcceptReply &Reply, Instant Now);
+  void handle(const PeerProcess &Sender, const ReadRequest &Request,
               Instant Now);
-  void handle(const std::string &Sender, const ReadReply &Reply, Instant Now);
-  void handle(const std::string &Sender, const ChosenValue &Chosen,
+  void handle(const PeerProcess &Sender, const ReadReply &Reply, Instant Now);
+  void handle(const PeerProcess &Sender, const ChosenValue &Chosen,
               Instant Now);
-  void handle(const std::string &Sender, const ChosenRequest &Request,
+  void handle(const PeerProcess &Sender, const ChosenRequest &Request,
               Instant Now);
 
   void send(const std::string &Receiver, RegisterMessage Message);
+  void reply(const PeerProcess &Receiver, RegisterMessage Message);
   void store();
   /// Sends \p Message once the state with the number \p Store is durable.
-  void sendDurable(const std::string &Receiver, RegisterMessage Message,
-                   uint64_t Store);
+  void replyDurable(const PeerProcess &Receiver, RegisterMessage Message,
+                    uint64_t Store);
   void startRound(Instant Now);
   /// Ends the first phase of the current round if a majority has promised.
   /// Operations that arrive until then are decided by the round too.
@@ -165,7 +166,7 @@
   uint64_t AcceptedStore = 0;
   /// Replies that are sent once a state is durable, by the number of that
   /// state.
-  std::multimap<uint64_t, SendToVoter> RepliesAfterStore;
+  std::multimap<uint64_t, RegisterReply> RepliesAfterStore;
   std::vector<RegisterEffect> Effects;
 };
 
--- a/src/versionregister/tests/register_test.cpp
+++ b/src/versionregister/tests/register_test.cpp
@@ -124,6 +124,40 @@
   }
 }
 
+// Guards against a read that returns an older version than one decided before
+// it: late replies to a read of the former process counted as replies to the
+// read of its successor, as both count their reads from 1.
+TEST_CASE("a read after a restart counts no reply to the former process") {
+  for (uint64_t Seed = 1; Seed <= 1500; ++Seed) {
+    CAPTURE(Seed);
+    RegisterNetwork Network(3, Seed);
+    const uint64_t First = Network.put("v2", {7, "seven"});
+    Network.run(400);
+    REQUIRE(decided(Network, "v2", First));
+    // v1 holds its reply to the read until its disk has the second value.
+    Network.StalledDisks = {"v1"};
+    const uint64_t Second = Network.put("v2", {8, "eight"});
+    Network.run(400);
+    REQUIRE(decided(Network, "v2", Second));
+    Network.read("v0");
+    Network.run(100);
+    Network.crash("v0", false);
+    Network.restart("v0");
+    // v0 promises but does not get the third value, which v1 accepts.
+    const uint64_t Third = Network.put("v2", {9, "nine"});
+    Network.run(Seed % 40);
+    Network.setCut("v0", true);
+    Network.run(100);
+    Network.setCut("v0", false);
+    Network.StalledDisks.clear();
+    for (int Step = 0; Step < 400 && !decided(Network, "v2", Third); ++Step)
+      Network.run(1);
+    Network.read("v0");
+    Network.run(400);
+    CHECK(Network.Violations.empty());
+  }
+}
+
 // Guards against lost or duplicated versions under lost messages, concurrent
 // proposers, crashes and one wiped disk at a time.
 TEST_CASE("random faults never lose, duplicate or reverse a version") {
@@ -235,9 +269,9 @@
   const Instant Now;
   Node.put({3, "three"}, Now);
   const Ballot Round{2, processName({"a", 1})};
-  Node.receive("b", ChosenValue{Newer, {{2, "two"}, NewVoters}}, Now);
+  Node.receive({"b", 1}, ChosenValue{Newer, {{2, "two"}, NewVoters}}, Now);
   Node.receive(
-      "b",
+      {"b", 1},
       PrepareReply{Round, Round, Newer, RegisterValue{{2, "two"}, NewVoters}},
       Now);
   std::vector<PrepareRequest> Requests;
--- a/src/versionregister/tests/registernetwork.cpp
+++ b/src/versionregister/tests/registernetwork.cpp
@@ -46,7 +46,8 @@
   node(Name).tick(Now);
   const bool RequestsChosen = !node(Name).chosen() || RequestsNewerValues;
   if (RequestsChosen && Rng() % 8 == 0)
-    Messages.push_back({Name, Names[Rng() % Names.size()], ChosenRequest{}});
+    Messages.push_back(
+        {process(Name), Names[Rng() % Names.size()], {}, ChosenRequest{}});
   processEffects(Name);
 }
 
@@ -59,9 +60,14 @@
   Messages.pop_back();
   const bool Lost =
       std::uniform_real_distribution<double>(0, 1)(Rng) < LossShare;
-  const bool ToSelf = Picked.Sender == Picked.Receiver;
-  const bool Cut = Nodes.at(Picked.Sender).Cut || Nodes.at(Picked.Receiver).Cut;
-  if (isDown(Picked.Receiver) || (!ToSelf && (Lost || Cut)))
+  const std::string &Sender = Picked.Sender.Address;
+  const Member &Receiver = Nodes.at(Picked.Receiver);
+  const bool ToSelf = Sender == Picked.Receiver;
+  const bool Cut = Nodes.at(Sender).Cut || Receiver.Cut;
+  const bool ForOtherProcess =
+      Picked.ReceiverIncarnation.value_or(Receiver.Incarnation) !=
+      Receiver.Incarnation;
+  if (isDown(Picked.Receiver) || ForOtherProcess || (!ToSelf && (Lost || Cut)))
     return;
   node(Picked.Receiver).receive(Picked.Sender, Picked.Message, Now);
   processEffects(Picked.Receiver);
@@ -107,7 +113,7 @@
     return Entry.first.first == Name;
   });
   std::erase_if(Messages, [&Name](const InFlightMessage &Message) {
-    return Message.Sender == Name && Message.Receiver == Name;
+    return Message.Sender.Address == Name && Message.Receiver == Name;
   });
 }
 
@@ -146,7 +152,10 @@
                              const RegisterEffect &Effect) {
   Member &Process = Nodes.at(Name);
   if (const auto *Send = std::get_if<SendToVoter>(&Effect))
-    Messages.push_back({Name, Send->Receiver, Send->Message});
+    Messages.push_back({process(Name), Send->Receiver, {}, Send->Message});
+  if (const auto *Reply = std::get_if<RegisterReply>(&Effect))
+    Messages.push_back({process(Name), Reply->Receiver.Address,
+                        Reply->Receiver.Incarnation, Reply->Message});
   if (const auto *Store = std::get_if<StoreState>(&Effect))
     Process.Unsynced.push_back(*Store);
   if (const auto *Chosen = std::get_if<ValueChosen>(&Effect)) {
--- a/src/versionregister/tests/registernetwork.h
+++ b/src/versionregister/tests/registernetwork.h
@@ -72,13 +72,18 @@
     uint64_t Incarnation = 0;
   };
   struct InFlightMessage {
-    std::string Sender;
+    PeerProcess Sender;
     std::string Receiver;
+    /// The process that gets a reply; absent for a request.
+    std::optional<uint64_t> ReceiverIncarnation;
     RegisterMessage Message;
   };
 
   void start(const std::string &Name, bool Initial);
   void processEffects(const std::string &Name);
+  PeerProcess process(const std::string &Name) const {
+    return {Name, Nodes.at(Name).Incarnation};
+  }
   void handle(const std::string &Name, const RegisterEffect &Effect);
   void step();
   void deliver();
--- a/src/versionregister/types/registereffect.h
+++ b/src/versionregister/types/registereffect.h
@@ -2,6 +2,7 @@
 #define SAPPHIREMOOR_VERSIONREGISTER_TYPES_REGISTEREFFECT_H
 
 #include "framework/core/time.h"
+#include "framework/core/types/peerprocess.h"
 #include "versionregister/types/acceptorstate.h"
 #include "versionregister/types/registermessage.h"
 
@@ -11,12 +12,19 @@
 
 namespace sapphiremoor {
 
-/// Sends a message to the VM at the address Receiver.
+/// Sends a request to the VM at the address Receiver, whichever process it has.
 struct SendToVoter {
   std::string Receiver;
   RegisterMessage Message;
 };
 
+/// Sends a reply to the process that asked for it, and to no other process of
+/// its VM: the numbers of its requests may be in use there again.
+struct RegisterReply {
+  PeerProcess Receiver;
+  RegisterMessage Message;
+};
+
 /// Writes the state to the disk. Once it is durable, the caller passes the
 /// number to RegisterNode::confirmStored().
 struct StoreState {
@@ -60,8 +68,8 @@
   Duration Elapsed{};
 };
 
-using RegisterEffect = std::variant<SendToVoter, StoreState, OperationEnded,
-                                    ValueChosen, RoundEnded>;
+using RegisterEffect = std::variant<SendToVoter, RegisterReply, StoreState,
+                                    OperationEnded, ValueChosen, RoundEnded>;
 
 } // namespace sapphiremoor
 
