Take over what a former process of a control VM owned

What callers would see: capacity of backend servers that no control VM uses any more, and stored jobs that wait for it for ever.

Cause: control VMs remembered the owner of a backend server by the name of its VM. If the owner restarted after another control VM had become the preferred owner (it had been away when the backend server was taken), the preferred one took the new process for the live owner and left the backend server to it; the new process, which owns nothing at its start and announces nothing then, left it to the preferred one.

Change: the owner is a process (VmId), and it is live only while it is the process of its VM that was heard last (MemberView::isLive(VmId)). The peers that still have to get all reports are processes too, and are forgotten with their link.

--- a/src/cluster/backenddirectory.h
+++ b/src/cluster/backenddirectory.h
@@ -6,6 +6,7 @@
 #include "cluster/dispatchservice.h"
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -34,7 +35,8 @@
   /// Announces that this VM has acquired or lost a backend server.
   void handleOwnershipChange(const OwnershipChanged &Change);
   /// Called when the link to \p Peer, a VM of any role, has come up.
-  void handlePeerUp(const VmId &Peer) { NewPeers.insert(Peer.Name); }
+  void handlePeerUp(const VmId &Peer) { NewPeers.insert(Peer); }
+  void handlePeerDown(const VmId &Peer) { NewPeers.erase(Peer); }
   /// Sends all reports and the owned backend servers to a control VM with the
   /// first heartbeat after its link has come up. Entry VMs do not need them.
   void handlePeerHeartbeat(const VmId &Sender, MemberRole Role);
@@ -47,8 +49,9 @@
   struct BackendRecord {
     BackendReport Report;
     Instant LastHeard;
-    /// Other control VM that announced ownership, or empty.
-    std::string Owner;
+    /// Process of another control VM that announced ownership, if any. The next
+    /// process of that VM owns nothing at its start.
+    std::optional<VmId> Owner;
     /// No attempt to acquire or probe the backend server before this time.
     Instant NextAttempt;
     /// Time since which another VM is the preferred owner.
@@ -80,8 +83,8 @@
   std::map<std::string, BackendRecord> Backends;
   BackendListStore List;
   BackendReports Outgoing;
-  /// VMs whose link has come up and that have sent no heartbeat since.
-  std::set<std::string> NewPeers;
+  /// Processes whose link has come up and that have sent no heartbeat since.
+  std::set<VmId> NewPeers;
   Instant StartTime;
   bool Draining = false;
   /// True if the last check found another VM with the owner tag of this one.
--- a/src/cluster/internal/backenddirectory.cpp
+++ b/src/cluster/internal/backenddirectory.cpp
@@ -127,11 +127,11 @@
 void BackendDirectory::handlePeerOwnership(const VmId &Sender,
                                            const OwnershipUpdate &Message) {
   for (const std::string &Id : Message.Acquired)
-    Backends[Id].Owner = Sender.Name;
+    Backends[Id].Owner = Sender;
   for (const std::string &Id : Message.Released) {
     const auto It = Backends.find(Id);
-    if (It != Backends.end() && It->second.Owner == Sender.Name)
-      It->second.Owner.clear();
+    if (It != Backends.end() && It->second.Owner == Sender)
+      It->second.Owner.reset();
   }
 }
 
@@ -144,14 +144,14 @@
   if (It == Backends.end())
     return;
   if (Change.Owned)
-    It->second.Owner.clear();
+    It->second.Owner.reset();
   else
     It->second.NextAttempt = Loop.now() + AcquireRetryDelay;
 }
 
 void BackendDirectory::handlePeerHeartbeat(const VmId &Sender,
                                            MemberRole Role) {
-  if (NewPeers.erase(Sender.Name) == 0 || Role != MemberRole::Control)
+  if (NewPeers.erase(Sender) == 0 || Role != MemberRole::Control)
     return;
   // A backend server that is known from the disk only may have left meanwhile.
   BackendReports AllReports;
@@ -238,7 +238,7 @@
     return;
   }
   const bool OwnedByLivePeer =
-      !Backend.Owner.empty() && Bus.members().isLive(Backend.Owner, Now);
+      Backend.Owner && Bus.members().isLive(*Backend.Owner, Now);
   const bool RecentlyHeard = Now - Backend.LastHeard <= RecentReportLimit;
   const bool SameDataCentre = Backend.Report.DataCentre == Bus.dataCentre();
   const Duration Grace = !SameDataCentre    ? StartupGrace
--- a/src/cluster/internal/controlnode.cpp
+++ b/src/cluster/internal/controlnode.cpp
@@ -24,7 +24,10 @@
              Dispatch.handlePeerUp(Peer);
              Backends.handlePeerUp(Peer);
            },
-           [this](const VmId &Peer) { Dispatch.handlePeerDown(Peer); },
+           [this](const VmId &Peer) {
+             Dispatch.handlePeerDown(Peer);
+             Backends.handlePeerDown(Peer);
+           },
            [this] { return Watch.check(); },
            [this](ClusterHeartbeat &Heartbeat) {
              Heartbeat.ConfigurationBallot = Configuration.chosenBallot();
--- a/src/cluster/internal/jobstoreservice.cpp
+++ b/src/cluster/internal/jobstoreservice.cpp
@@ -396,7 +396,7 @@
   if (Member == nullptr ||
       writerName(writerAddress(WriterName), Member->Id.Incarnation) !=
           WriterName ||
-      !Bus.members().isLive(Member->Id.Name, Loop.now()))
+      !Bus.members().isLive(Member->Id, Loop.now()))
     return std::nullopt;
   return Member->Id;
 }
--- a/src/cluster/tests/controlnode_test.cpp
+++ b/src/cluster/tests/controlnode_test.cpp
@@ -1,6 +1,7 @@
 #include "cluster/controlnode.h"
 
 #include "cluster/tests/processaddress.h"
+#include "discovery/ownership.h"
 #include "framework/codec/serial.h"
 #include "framework/storage/tests/temporaryfolder.h"
 
@@ -415,6 +416,17 @@
   return Report;
 }
 
+/// Returns the id of a backend server of which the control VM \p Preferred is
+/// the preferred owner, and not \p Other.
+std::string idPreferredBy(const std::string &Preferred,
+                          const std::string &Other) {
+  uint64_t Number = 1;
+  const auto Id = [&Number] { return "b" + std::to_string(Number); };
+  while (rendezvousWeight(Id(), Preferred) < rendezvousWeight(Id(), Other))
+    ++Number;
+  return Id();
+}
+
 /// Runs until the list of backend servers of the only VM is on disk.
 void waitUntilStored(ControlVms &Vms) {
   while (!Vms.node(0).backends().isStored())
@@ -444,6 +456,39 @@
   CHECK(PolledBackends == std::set<std::string>{"b1", "b2"});
 }
 
+// Guards against a backend server that nobody takes: its owner restarted while
+// another control VM was preferred, which took the new process for the owner.
+TEST_CASE("what a former process of a control VM owned is taken") {
+  constexpr std::size_t HeartbeatCount = 15;
+  std::set<std::string> PolledBackends;
+  BackendOrders Orders = unansweredOrders();
+  Orders.Poll = [&PolledBackends](const PollOrder &Order, const auto &) {
+    PolledBackends.insert(Order.Target.BackendId);
+  };
+  ControlVms Vms(1);
+  Vms.start({processEndpoint(0)}, true, Orders);
+  const LinkedPeer Entry(Vms.loop(), "e1", MemberRole::Entry);
+  BackendReport Report = makeReport(idPreferredBy("c0", "c9"));
+  {
+    LinkedPeer Former(Vms.loop(), "c9", MemberRole::Control, 1);
+    while (Former.count<ClusterHeartbeat>() == 0)
+      Vms.loop().runOnce(true);
+    Former.send(OwnershipUpdate{{Report.Id}, {}});
+    waitForPendingJobs(Vms, Former, 0);
+    Vms.node(0).backends().handleReport(Report);
+    while (Former.count<ClusterHeartbeat>() < HeartbeatCount)
+      Vms.loop().runOnce(true);
+    REQUIRE(PolledBackends.empty());
+  }
+  const LinkedPeer Successor(Vms.loop(), "c9", MemberRole::Control, 2);
+  while (Successor.count<ClusterHeartbeat>() < HeartbeatCount) {
+    ++Report.Sequence;
+    Vms.node(0).backends().handleReport(Report);
+    Vms.loop().runOnce(true);
+  }
+  CHECK(PolledBackends.contains(Report.Id));
+}
+
 // Guards against a backend server that has left and is in use again after a
 // restart.
 TEST_CASE("a backend server that has left is not known after a restart") {
--- a/src/discovery/internal/memberview.cpp
+++ b/src/discovery/internal/memberview.cpp
@@ -47,6 +47,10 @@
   return Silence && *Silence <= Limits.LiveTimeout;
 }
 
+bool MemberView::isLive(const VmId &Process, Instant Now) const {
+  return find(Process) != nullptr && isLive(Process.Name, Now);
+}
+
 std::optional<Duration> MemberView::silenceDuration(const std::string &Name,
                                                     Instant Now) const {
   const auto It = Members.find(Name);
--- a/src/discovery/memberview.h
+++ b/src/discovery/memberview.h
@@ -39,6 +39,9 @@
   bool isReachable(const std::string &Name, Instant Now) const;
   /// Returns true if this VM or a third one heard \p Name within LiveTimeout.
   bool isLive(const std::string &Name, Instant Now) const;
+  /// Returns true if \p Process is the process of its VM that was heard last,
+  /// and if this VM or a third one heard it within LiveTimeout.
+  bool isLive(const VmId &Process, Instant Now) const;
   /// Returns the time since any VM heard \p Name, or nothing if it is unknown.
   std::optional<Duration> silenceDuration(const std::string &Name,
                                           Instant Now) const;
--- a/src/discovery/tests/memberview_test.cpp
+++ b/src/discovery/tests/memberview_test.cpp
@@ -29,6 +29,21 @@
   CHECK_FALSE(View.isReachable("c1", instantMs(1500)));
 }
 
+// Guards against a process that is taken for its predecessor: what that one had
+// announced was still believed.
+TEST_CASE("a process is not live once its VM has another one") {
+  MemberView View({});
+  MemberInfo Vm = makeControlVm("c1", "10.0.0.1");
+  const VmId Former = Vm.Id;
+  View.recordContact(Vm, instantMs(0));
+  CHECK(View.isLive(Former, instantMs(100)));
+  ++Vm.Id.Incarnation;
+  View.recordContact(Vm, instantMs(200));
+  CHECK_FALSE(View.isLive(Former, instantMs(300)));
+  CHECK(View.find(Former) == nullptr);
+  CHECK(View.isLive(Vm.Id, instantMs(300)));
+}
+
 // Guards against an old report that makes a dead VM look alive.
 TEST_CASE("an old sighting does not renew a VM") {
   MemberView View({});
