Drop late messages of a former process

What callers would see: two runs of a task at a time. A job that reached a control VM only after the next process of its entry VM had linked up was started although nobody waited for it, and nothing withdrew it: the requests of the former process had been dropped before, and its caller had sent the job again elsewhere.

Cause: links of two processes of a VM may be open at the same time, and the mesh delivered what arrived on either. A heartbeat of the former process also replaced what was known of the present one.

Change: PeerMesh delivers messages only between OnPeerUp and OnPeerDown of their sender.

Test: net_tests, "a late message of a former process is not delivered" (failed before). What came first is rare: the message has to be read 0.3 s and more after its sender has ended; it was not seen with processes.

--- a/src/cluster/clusterbus.h
+++ b/src/cluster/clusterbus.h
@@ -70,9 +70,7 @@
     return Mesh.reachable(Name);
   }
   /// Returns true if there is a link to the process \p Peer.
-  bool isLinked(const VmId &Peer) const {
-    return linkedProcess(Peer.Name) == Peer;
-  }
+  bool isLinked(const VmId &Peer) const { return Mesh.isReachable(Peer); }
   /// Returns the live control VMs that accept work, including this VM if it is
   /// one.
   std::vector<MemberInfo> liveControlVms() const;
--- a/src/framework/net/internal/peermesh.cpp
+++ b/src/framework/net/internal/peermesh.cpp
@@ -84,6 +84,11 @@
   return UpIt == UpPeers.end() ? std::nullopt : std::optional(UpIt->second);
 }
 
+bool PeerMesh::isReachable(const VmId &Peer) const {
+  const auto UpIt = UpPeers.find(Peer.Name);
+  return UpIt != UpPeers.end() && UpIt->second == Peer;
+}
+
 std::size_t PeerMesh::pendingBytes(const VmId &Peer) const {
   const PeerLink *Link = newestLink(Peer);
   return Link == nullptr ? 0 : Link->pendingBytes();
@@ -144,7 +149,10 @@
 
 void PeerMesh::onMessage(PeerLink &Link, std::string_view Payload) {
   Link.LastActivity = Loop.now();
-  Callbacks.OnMessage(Link.remote(), Payload);
+  // The owner has been told that a former process is down and has dropped what
+  // belongs to it, so a late message of that process must not be handled.
+  if (isReachable(Link.remote()))
+    Callbacks.OnMessage(Link.remote(), Payload);
 }
 
 void PeerMesh::onLinkClosed(PeerLink &Link, const Error &Reason) {
--- a/src/framework/net/peermesh.h
+++ b/src/framework/net/peermesh.h
@@ -61,6 +61,7 @@
 
   /// Returns the process of the VM \p Name that is reachable, if any.
   std::optional<VmId> reachable(const std::string &Name) const;
+  bool isReachable(const VmId &Peer) const;
   /// Returns the number of unsent bytes on the newest link to \p Peer.
   std::size_t pendingBytes(const VmId &Peer) const;
 
--- a/src/framework/net/peernetwork.h
+++ b/src/framework/net/peernetwork.h
@@ -35,6 +35,8 @@
 
 /// Callbacks to the owner of a PeerNetwork or a PeerMesh.
 struct PeerCallbacks {
+  /// With a PeerMesh, called only between OnPeerUp and OnPeerDown of the
+  /// sender.
   std::function<void(const VmId &, std::string_view)> OnMessage;
   /// Called when messages can be exchanged with the peer in both directions.
   std::function<void(const VmId &)> OnPeerUp;
--- a/src/framework/net/tests/peermesh_test.cpp
+++ b/src/framework/net/tests/peermesh_test.cpp
@@ -145,6 +145,28 @@
   CHECK(Successor.Messages.front().second == "to its successor");
 }
 
+// Guards against a request of a former process that is handled after its VM has
+// another one: nobody waits for the answer, and nothing ends the request.
+TEST_CASE("a late message of a former process is not delivered") {
+  EventLoop Loop;
+  MeshNode A(Loop, {"a", 1});
+  MeshNode Former(Loop, {"b", 2});
+  Former.Mesh.dial({"127.0.0.1", A.Port});
+  while (A.PeersUp.empty() || Former.PeersUp.empty())
+    Loop.runOnce(true);
+  MeshNode Successor(Loop, {"b", 3});
+  Successor.Mesh.dial({"127.0.0.1", A.Port});
+  while (A.Mesh.reachable("b") != VmId{"b", 3} || Successor.PeersUp.empty())
+    Loop.runOnce(true);
+  CHECK(Former.Mesh.send({"a", 1}, "late"));
+  for (int Round = 0; Round < SeveralRounds; ++Round)
+    Loop.runOnce(false);
+  CHECK(Successor.Mesh.send({"a", 1}, "now"));
+  while (A.Messages.empty() || A.Messages.back().second != "now")
+    Loop.runOnce(true);
+  CHECK(A.Messages.size() == 1);
+}
+
 // Guards against a silent peer that is never reported down.
 TEST_CASE("a silent peer is reported down, and up once it is redialled") {
   EventLoop Loop;
