Bound what waits for stored jobs while no majority is reached

What operators would see: memory of a control VM that grows for as long as it is cut off from the other control VMs, and a burst of answers that nobody waits for when the cut ends.

Cause: each cancel and each report of an end waited until its job's state was durable, also if it was repeated several times a second; ends that were reported during a takeover that failed were kept for ever; new jobs that could not become durable did not count against the limit of open jobs. An end whose first attempt had failed was dropped, not reported to the new writer, if the job was lost while the second one waited. Found by reading, after the requests that wait for a stored job.

Change: PendingConfirmations keeps one confirmation for each end and each cancel, drops cancels after the time for which an entry VM waits (QueryTimeout), and what is for a process that has gone; the ends of a lost job are kept whatever attempt they are at. Pending ends are kept once for each run, early ends only during a takeover. A writer with 20,000 open jobs, the limit of a dispatcher, takes no further one; its callers get 429.

--- a/src/cluster/internal/entrynode.cpp
+++ b/src/cluster/internal/entrynode.cpp
@@ -35,7 +35,6 @@
 /// itself. It measures the deadline from the job's arrival there.
 constexpr Duration WithdrawalRetention = std::chrono::seconds(1);
 
-constexpr Duration QueryTimeout = std::chrono::milliseconds(700);
 constexpr Duration ConfigurationRetryDelay = std::chrono::milliseconds(300);
 
 std::size_t taskCount(const JobSubmission &Job) {
--- a/src/cluster/internal/jobstoreends.cpp
+++ b/src/cluster/internal/jobstoreends.cpp
@@ -3,6 +3,7 @@
 #include "versionregister/voterset.h"
 
 #include <utility>
+#include <vector>
 
 namespace sapphiremoor {
 
@@ -50,15 +51,21 @@
 
 void JobStoreService::handleLocalRunEnd(const RunEnded &Effect) {
   if (Effect.Applied && Writer.ownsJob(Effect.Task.Job)) {
-    whenDurable(
-        Effect.Task.Job,
-        [this, EndId = Effect.EndId] { acknowledgeEnd(EndId, false); }, Effect);
+    confirmWhenDurable(Effect.Task.Job, LocalEnd{Effect, false});
     return;
   }
-  PendingEnds.push_back({Effect, {}, {}, {}});
+  addPendingEnd(Effect);
 }
 
-bool JobStoreService::applyEnd(const RunEndNotice &Notice, EndHandler Handler) {
+void JobStoreService::addPendingEnd(const RunEnded &Report) {
+  const PendingEndKey Key{Report.EndId.BackendId, Report.Task,
+                          Report.RunNumber};
+  PendingEnds[Key].Report = Report;
+}
+
+template <typename EndConfirmation>
+bool JobStoreService::applyEnd(const RunEndNotice &Notice,
+                               EndConfirmation Pending) {
   const std::string &Job = Notice.Task.Job;
   if (!Writer.ownsJob(Job)) {
     // The writer forgets a job once the job's end is durable on all copies.
@@ -67,8 +74,9 @@
     const JobRecord *Record = LocalCopy->find(Job);
     const bool JobFinished =
         Record != nullptr && Writer.ownsPartition(Record->Partition);
+    Pending.Superseded = true;
     if (JobFinished)
-      Handler(true);
+      confirm(Pending);
     return JobFinished;
   }
   const auto Applied = Dispatch.dispatcher().handleFormerRunEnd(
@@ -77,44 +85,37 @@
     Dispatch.run();
   else if (!Writer.endDurable(Job))
     return false;
-  const bool Superseded =
+  Pending.Superseded =
       Applied ? *Applied == FormerRunEnd::Superseded
               : isSuperseded(*Writer.find(Job), Notice.Task, Notice.RunNumber);
-  whenDurable(
-      Job, [Handler = std::move(Handler), Superseded] { Handler(Superseded); });
+  confirmWhenDurable(Job, Pending);
   return true;
 }
 
 void JobStoreService::applyEarlyEnds(const std::string &Job,
                                      JobProgress &Progress) {
-  std::vector<EndHandler> Handlers;
-  const auto [Begin, End] = EarlyEnds.equal_range(Job);
-  for (auto It = Begin; It != End; ++It)
-    if (countEnd(Progress, It->second.first))
-      Handlers.push_back(std::move(It->second.second));
-  EarlyEnds.erase(Begin, End);
-  std::erase_if(PendingEnds, [&](const PendingEnd &Pending) {
-    if (Pending.Report.Task.Job != Job ||
-        !countEnd(Progress, {Pending.Report.Task, Pending.Report.RunNumber,
-                             Pending.Report.Outcome}))
+  std::vector<Confirmation> Counted;
+  if (const auto Early = EarlyEnds.extract(Job))
+    for (const ReportedEnd &End : Early.mapped())
+      if (countEnd(Progress, End.Notice))
+        Counted.emplace_back(End);
+  std::erase_if(PendingEnds, [&](const auto &Entry) {
+    const RunEnded &Report = Entry.second.Report;
+    if (Report.Task.Job != Job ||
+        !countEnd(Progress, {Report.Task, Report.RunNumber, Report.Outcome}))
       return false;
-    Handlers.push_back([this, EndId = Pending.Report.EndId](bool Superseded) {
-      acknowledgeEnd(EndId, Superseded);
-    });
+    Counted.emplace_back(LocalEnd{Report, false});
     return true;
   });
-  if (Handlers.empty())
+  if (Counted.empty())
     return;
   Writer.updateProgress(Job, Progress, Loop.now());
-  for (EndHandler &EarlyHandler : Handlers)
-    whenDurable(Job, [Handler = std::move(EarlyHandler)] { Handler(false); });
+  for (const Confirmation &Pending : Counted)
+    confirmWhenDurable(Job, Pending);
 }
 
 bool JobStoreService::resolvePendingEnd(PendingEnd &Pending) {
-  const Instant Now = Loop.now();
-  if (Now < Pending.NextAttempt)
-    return false;
-  Pending.NextAttempt = Now + PendingEndRetryDelay;
+  Pending.NextAttempt = Loop.now() + PendingEndRetryDelay;
   const RunEnded &Report = Pending.Report;
   const JobRecord *Record = LocalCopy->find(Report.Task.Job);
   if (Record == nullptr && Pending.WriterName.empty()) {
@@ -125,9 +126,7 @@
     return true;
   }
   const RunEndNotice Notice{Report.Task, Report.RunNumber, Report.Outcome};
-  if (applyEnd(Notice, [this, EndId = Report.EndId](bool Superseded) {
-        acknowledgeEnd(EndId, Superseded);
-      }))
+  if (applyEnd(Notice, LocalEnd{Report, false}))
     return true;
   const std::string WriterName =
       Record == nullptr ? std::exchange(Pending.WriterName, {})
@@ -138,6 +137,19 @@
   return false;
 }
 
+void JobStoreService::resolvePendingEnds() {
+  const Instant Now = Loop.now();
+  std::vector<PendingEndKey> DueEnds;
+  for (const auto &[Key, Pending] : PendingEnds)
+    if (Now >= Pending.NextAttempt)
+      DueEnds.push_back(Key);
+  // An attempt may add and remove other pending ends.
+  for (const PendingEndKey &Key : DueEnds)
+    if (const auto It = PendingEnds.find(Key);
+        It != PendingEnds.end() && resolvePendingEnd(It->second))
+      PendingEnds.erase(Key);
+}
+
 void JobStoreService::askVotersForJob(PendingEnd &Pending) {
   const std::string &Job = Pending.Report.Task.Job;
   for (const std::string &Voter : Configuration.voters().Voters) {
@@ -154,7 +166,7 @@
 
 void JobStoreService::handleJobLocation(const std::string &Address,
                                         const JobLocation &Location) {
-  for (PendingEnd &Pending : PendingEnds) {
+  for (auto &[Key, Pending] : PendingEnds) {
     if (Pending.Report.Task.Job != Location.Job)
       continue;
     if (Location.HasJob)
@@ -167,26 +179,23 @@
 
 void JobStoreService::handlePeerRunEnd(const VmId &Sender,
                                        const RunEndNotice &Notice) {
-  const EndHandler Reply = [this, Sender, Task = Notice.Task,
-                            Run = Notice.RunNumber](bool Superseded) {
-    Bus.send(Sender, JobStoreMessage(RunEndStored{Task, Run, Superseded}));
-  };
-  if (applyEnd(Notice, Reply))
-    return;
-  const JobRecord *Record = LocalCopy->find(Notice.Task.Job);
-  const bool TakeoverPending =
-      Writer.ownsJob(Notice.Task.Job) ||
-      (Record != nullptr && Writer.ownsOrClaims(Record->Partition));
-  if (TakeoverPending)
-    EarlyEnds.emplace(Notice.Task.Job, std::pair(Notice, Reply));
+  const ReportedEnd End{Sender, Notice, false};
+  if (!applyEnd(Notice, End) && isTakeoverPending(Notice.Task.Job))
+    EarlyEnds[Notice.Task.Job].insert(End);
+}
+
+bool JobStoreService::isTakeoverPending(const std::string &Job) const {
+  const JobRecord *Record = LocalCopy->find(Job);
+  return Writer.ownsJob(Job) ||
+         (Record != nullptr && Writer.ownsOrClaims(Record->Partition));
 }
 
 void JobStoreService::handleRunEndStored(const RunEndStored &Message) {
-  std::erase_if(PendingEnds, [&](const PendingEnd &Pending) {
-    if (Pending.Report.Task != Message.Task ||
-        Pending.Report.RunNumber != Message.RunNumber)
+  std::erase_if(PendingEnds, [&](const auto &Entry) {
+    const RunEnded &Report = Entry.second.Report;
+    if (Report.Task != Message.Task || Report.RunNumber != Message.RunNumber)
       return false;
-    acknowledgeEnd(Pending.Report.EndId, Message.Superseded);
+    acknowledgeEnd(Report.EndId, Message.Superseded);
     return true;
   });
 }
--- a/src/cluster/internal/jobstoreservice.cpp
+++ b/src/cluster/internal/jobstoreservice.cpp
@@ -22,6 +22,9 @@
 /// fit on it.
 constexpr std::size_t LogLimitBytes = std::size_t{32} << 20;
 
+/// Retry delay for callers while too many jobs are open.
+constexpr int64_t FullStoreRetryMs = 1000;
+
 /// Number of storage requests whose completion nothing waits for.
 constexpr uint64_t NoReplyNumber = 0;
 
@@ -213,6 +216,15 @@
 }
 
 void JobStoreService::storeJob(const StoreJob &Effect) {
+  if (Writer.isFull()) {
+    Dispatch.answer({Effect.Source,
+                     Effect.Job.Id,
+                     JobResult::NotRun,
+                     JobReason::Overloaded,
+                     FullStoreRetryMs,
+                     {}});
+    return;
+  }
   addWaitingRequest(Effect.Job, Effect.Source);
   Writer.create(Effect.Job, Loop.now());
   run();
@@ -234,6 +246,7 @@
   std::erase_if(WaitingRequests, [&Process](const auto &Entry) {
     return Entry.second.Source.Process == Process;
   });
+  Confirmations.dropReceiver(Process);
 }
 
 void JobStoreService::answerWaitingRequests(const std::string &Job,
@@ -260,6 +273,7 @@
 }
 
 void JobStoreService::perform(const JobHeldElsewhere &Effect) {
+  dropWaiters(Effect.Id);
   const auto Holder =
       findLiveWriter(LocalCopy->partitionWriter(Effect.Partition));
   if (Holder && *Holder != Bus.self())
@@ -270,18 +284,9 @@
 }
 
 void JobStoreService::perform(const ProgressStored &Effect) {
-  std::vector<std::function<void()>> Ready;
-  const auto [Begin, End] = DurabilityWaiters.equal_range(Effect.Id);
-  for (auto It = Begin; It != End;) {
-    if (It->second.Version > Effect.Version) {
-      ++It;
-      continue;
-    }
-    Ready.push_back(std::move(It->second.OnDurable));
-    It = DurabilityWaiters.erase(It);
-  }
-  for (const auto &Handler : Ready)
-    Handler();
+  for (const Confirmation &Durable :
+       Confirmations.takeDurable(Effect.Id, Effect.Version))
+    confirmNow(Durable);
 }
 
 void JobStoreService::perform(const JobsLost &Effect) {
@@ -289,12 +294,7 @@
            {{"jobs", std::to_string(Effect.Ids.size())}});
   for (const std::string &Id : Effect.Ids) {
     answerWaitingRequests(Id, JobResult::GivenUp, JobReason::Cancelled);
-    // Ends that did not become durable have to be reported to the new writer.
-    const auto [Begin, End] = DurabilityWaiters.equal_range(Id);
-    for (auto It = Begin; It != End; ++It)
-      if (It->second.End)
-        PendingEnds.push_back({*It->second.End, {}, {}, {}});
-    DurabilityWaiters.erase(Begin, End);
+    dropWaiters(Id);
     Dispatch.dispatcher().dropStored(Id, Loop.now());
   }
 }
@@ -316,16 +316,49 @@
   run();
 }
 
-void JobStoreService::whenDurable(const std::string &Job,
-                                  std::function<void()> Handler,
-                                  std::optional<RunEnded> End) {
-  if (!Writer.ownsJob(Job) || Writer.endDurable(Job)) {
-    Handler();
-    return;
-  }
-  DurabilityWaiters.emplace(Job, DurabilityWaiter{Writer.version(Job),
-                                                  std::move(Handler),
-                                                  std::move(End)});
+void JobStoreService::confirmWhenDurable(const std::string &Job,
+                                         const Confirmation &Pending) {
+  if (!Writer.ownsJob(Job) || Writer.endDurable(Job))
+    confirmNow(Pending);
+  else
+    Confirmations.add(Job, Writer.version(Job), Pending);
+}
+
+void JobStoreService::confirmNow(const Confirmation &Pending) {
+  std::visit([this](const auto &Value) { confirm(Value); }, Pending);
+}
+
+void JobStoreService::confirm(const LocalEnd &End) {
+  acknowledgeEnd(End.Report.EndId, End.Superseded);
+}
+
+void JobStoreService::confirm(const ReportedEnd &End) {
+  Bus.send(End.Reporter,
+           JobStoreMessage(RunEndStored{End.Notice.Task, End.Notice.RunNumber,
+                                        End.Superseded}));
+}
+
+void JobStoreService::confirm(const CancelRequest &Request) {
+  Bus.send(
+      Request.Source.Process,
+      JobQueryAnswer{Request.Source.Request, Request.PreviousStatus, true});
+}
+
+void JobStoreService::dropWaiters(const std::string &Job) {
+  for (const RunEnded &Report : Confirmations.drop(Job))
+    addPendingEnd(Report);
+}
+
+void JobStoreService::expireWaiters() {
+  const Instant Now = Loop.now();
+  std::erase_if(WaitingRequests, [Now](const auto &Entry) {
+    return Now >= Entry.second.Deadline;
+  });
+  Confirmations.expire(Now);
+  // The VM that has reported the end reports it again.
+  std::erase_if(EarlyEnds, [this](const auto &Entry) {
+    return !isTakeoverPending(Entry.first);
+  });
 }
 
 bool JobStoreService::majorityReachable() const {
@@ -357,22 +390,20 @@
 void JobStoreService::query(const VmId &Sender, const JobQuery &Message) {
   const std::string &Job = Message.Job;
   const JobStatus PreviousStatus = jobStatus(Job);
-  const auto Reply = [this, Sender, Number = Message.Request,
-                      PreviousStatus](bool Ended) {
-    Bus.send(Sender, JobQueryAnswer{Number, PreviousStatus, Ended});
-  };
+  const CancelRequest Cancel{
+      {Sender, Message.Request}, PreviousStatus, Loop.now() + QueryTimeout};
   const bool RunsHere = Dispatch.dispatcher().status(Job) != JobStatus::Unknown;
   if (Message.Cancel && RunsHere) {
     Dispatch.dispatcher().cancel(Job, Loop.now());
     Dispatch.run();
-    whenDurable(Job, [Reply] { Reply(true); });
+    confirmWhenDurable(Job, Cancel);
     return;
   }
   // While the job is still being stored, the cancel is not answered.
   if (Message.Cancel && Writer.ownsJob(Job)) {
     const JobRecord *Record = LocalCopy->find(Job);
     if (Record != nullptr && Record->Progress.Outcome != StoredOutcome::Open)
-      whenDurable(Job, [Reply] { Reply(true); });
+      confirmWhenDurable(Job, Cancel);
     return;
   }
   // A voter that rebuilds its copy may lack a job that a majority had stored.
@@ -380,7 +411,8 @@
   if (PreviousStatus == JobStatus::Unknown && !LocalCopy->isComplete() &&
       isVoter(Configuration.voters(), describe(Settings.AdvertisedPeer)))
     return;
-  Reply(PreviousStatus >= JobStatus::Done);
+  Bus.send(Sender, JobQueryAnswer{Message.Request, PreviousStatus,
+                                  PreviousStatus >= JobStatus::Done});
 }
 
 void JobStoreService::handleStall() {
@@ -446,12 +478,8 @@
     NextTakeoverCheck = Now + TakeoverCheckPeriod;
     checkTakeovers();
   }
-  std::erase_if(WaitingRequests, [Now](const auto &Entry) {
-    return Now >= Entry.second.Deadline;
-  });
-  std::erase_if(PendingEnds, [this](PendingEnd &Pending) {
-    return resolvePendingEnd(Pending);
-  });
+  expireWaiters();
+  resolvePendingEnds();
   LocalCopy->tick(Now);
   Writer.tick(Now);
   run();
--- a/src/cluster/jobstoreservice.h
+++ b/src/cluster/jobstoreservice.h
@@ -3,13 +3,14 @@
 
 #include "cluster/clusterbus.h"
 #include "cluster/dispatchservice.h"
+#include "cluster/pendingconfirmations.h"
 #include "cluster/recoveringstorage.h"
 #include "cluster/registerservice.h"
+#include "cluster/types/confirmation.h"
 #include "jobstore/jobcopy.h"
 #include "jobstore/jobwriter.h"
 #include "jobstore/takeoverwatch.h"
 
-#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -51,12 +52,14 @@
     /// The entry VM has answered its caller by this time.
     Instant Deadline;
   };
-  /// A callback that waits until a version of a job is durable.
-  struct DurabilityWaiter {
-    uint64_t Version = 0;
-    std::function<void()> OnDurable;
-    /// The end of a run that the callback acknowledges, if it does.
-    std::optional<RunEnded> End;
+  /// Identifies the end of a run, which a backend server lists again to each
+  /// owner.
+  struct PendingEndKey {
+    std::string BackendId;
+    TaskId Task;
+    uint64_t RunNumber = 0;
+
+    auto operator<=>(const PendingEndKey &) const = default;
   };
   /// The end of a run that the VM which runs the job has to store. Only then
   /// may the backend server forget it.
@@ -90,26 +93,40 @@
   void takeSnapshot(uint64_t ReplyNumber);
   /// Writes the whole copy to a folder that was opened again.
   void storeAgain(const RecoveredFolder &Folder);
-  /// Calls \p Handler once all states of the job that were written so far are
-  /// durable.
-  void whenDurable(const std::string &Job, std::function<void()> Handler,
-                   std::optional<RunEnded> End = {});
+  /// Sends a confirmation once all states of the job that were written so far
+  /// are durable. Waits once only for a confirmation that is asked for
+  /// repeatedly.
+  void confirmWhenDurable(const std::string &Job, const Confirmation &Pending);
+  void confirmNow(const Confirmation &Pending);
+  void confirm(const LocalEnd &End);
+  void confirm(const ReportedEnd &End);
+  void confirm(const CancelRequest &Request);
+  /// Drops what waits for a job that this VM does not write any more. The ends
+  /// of runs have to be reported to the new writer.
+  void dropWaiters(const std::string &Job);
+  /// Drops what nobody waits for any more.
+  void expireWaiters();
   /// Lets a request wait until its job is stored.
   void addWaitingRequest(const JobSubmission &Job, const JobSource &Source);
   void answerWaitingRequests(const std::string &Job, JobResult Result,
                              JobReason Reason, const std::string &Target = {});
-  /// Called with true if the end is superseded by another run of the task.
-  using EndHandler = std::function<void(bool)>;
   void acknowledgeEnd(const EndedRunId &End, bool Superseded);
-  /// Applies the end of a run to a job that this VM writes and calls \p Handler
-  /// once the end is durable. Returns false if this VM does not run the job, or
-  /// does not run it yet.
-  bool applyEnd(const RunEndNotice &Notice, EndHandler Handler);
+  /// Applies the end of a run to a job that this VM writes, and confirms it as
+  /// \p Pending, a LocalEnd or a ReportedEnd, once it is durable. Returns false
+  /// if this VM does not run the job, or does not run it yet.
+  template <typename EndConfirmation>
+  bool applyEnd(const RunEndNotice &Notice, EndConfirmation Pending);
+  /// Tries to get the end of a run on a backend server of this VM stored. Of
+  /// several reports of one end the last one is kept.
+  void addPendingEnd(const RunEnded &Report);
+  /// Returns true if this VM is taking the job over.
+  bool isTakeoverPending(const std::string &Job) const;
   /// Applies the ends that were reported before the takeover of the job was
   /// complete.
   void applyEarlyEnds(const std::string &Job, JobProgress &Progress);
   /// Tries to get the end stored. Returns true if no further attempt is needed.
   bool resolvePendingEnd(PendingEnd &Pending);
+  void resolvePendingEnds();
   void handlePeerRunEnd(const VmId &Sender, const RunEndNotice &Notice);
   void handleRunEndStored(const RunEndStored &Message);
   /// Asks the other voters for a job that the local copy lacks.
@@ -141,11 +158,11 @@
   std::size_t LogBytes = 0;
   /// Requests that wait until their job is stored, by job.
   std::multimap<std::string, WaitingRequest> WaitingRequests;
-  std::multimap<std::string, DurabilityWaiter> DurabilityWaiters;
-  std::vector<PendingEnd> PendingEnds;
+  PendingConfirmations Confirmations;
+  std::map<PendingEndKey, PendingEnd> PendingEnds;
   /// Ends that were reported while the takeover of their job is in progress, by
   /// job.
-  std::multimap<std::string, std::pair<RunEndNotice, EndHandler>> EarlyEnds;
+  std::map<std::string, std::set<ReportedEnd>> EarlyEnds;
   TakeoverWatch Takeovers;
   Instant NextTakeoverCheck;
   Timer TickTimer;
--- a/src/cluster/types/clustermessage.h
+++ b/src/cluster/types/clustermessage.h
@@ -6,6 +6,7 @@
 #include "dispatch/types/backendreport.h"
 #include "dispatch/types/dispatcheffect.h"
 #include "dispatch/types/jobsubmission.h"
+#include "framework/core/time.h"
 #include "jobstore/types/jobstoremessage.h"
 #include "versionregister/types/registermessage.h"
 
@@ -58,6 +59,10 @@
   template <typename Archive> void serialize(Archive &Ar) { Ar(Request, Job); }
 };
 
+/// An entry VM does not wait any longer for the answers to a JobQuery or a
+/// PendingJobsQuery.
+constexpr Duration QueryTimeout = std::chrono::milliseconds(700);
+
 /// Asks for the state of a job, and cancels the job if Cancel is set.
 struct JobQuery {
   uint64_t Request = 0;
--- a/src/dispatch/types/dispatcheffect.h
+++ b/src/dispatch/types/dispatcheffect.h
@@ -160,6 +160,8 @@
   /// progress then has to become durable. False if the VM that runs the job has
   /// to be told.
   bool Applied = false;
+
+  auto operator<=>(const RunEnded &) const = default;
 };
 
 using DispatchEffect =
--- a/src/jobstore/jobwriter.h
+++ b/src/jobstore/jobwriter.h
@@ -31,6 +31,9 @@
   /// Maximum number of durable ends that are kept for voters that do not
   /// acknowledge them. Bounds the memory while a voter is gone for long.
   std::size_t MaxUnsettledEnds = 10000;
+  /// Maximum number of open jobs, stored ones and those that wait for a
+  /// majority. Bounds the memory while no majority can be reached.
+  std::size_t MaxOpenJobs = 20000;
 };
 
 /// Stores the jobs that one VM runs. Jobs are grouped in partitions. A VM opens
@@ -51,7 +54,12 @@
     Copies = std::move(Addresses);
   }
 
-  /// Stores a new job. JobStored or JobHeldElsewhere follows.
+  /// Returns true if no further job can be stored, because too many are open.
+  bool isFull() const {
+    return Jobs.size() - UnsettledEnds.size() >= Limits.MaxOpenJobs;
+  }
+  /// Stores a new job, whether the writer is full or not. JobStored or
+  /// JobHeldElsewhere follows.
   void create(const JobSubmission &Job, Instant Now);
   /// Stores the progress of an owned job and returns the new version, or 0 if
   /// this writer does not own the job.
--- a/src/jobstore/tests/jobstore_test.cpp
+++ b/src/jobstore/tests/jobstore_test.cpp
@@ -217,6 +217,28 @@
   CHECK(Network.keptJobs(vmName(0)) == 0);
 }
 
+// Guards against memory that grows with each job that is submitted to a VM that
+// cannot reach a majority: none of them can be stored.
+TEST_CASE("a writer that is cut off takes a limited number of jobs") {
+  JobWriterLimits Limits;
+  Limits.MaxOpenJobs = 10;
+  JobStoreNetwork Network(3, 12, Limits);
+  Network.setIsolated(vmName(0), true);
+  for (int Number = 0; Number < 10; ++Number) {
+    CHECK_FALSE(Network.isFull(vmName(0)));
+    Network.submit(vmName(0), "j" + std::to_string(Number));
+    Network.run(milliseconds(100));
+  }
+  CHECK(Network.isFull(vmName(0)));
+  Network.setIsolated(vmName(0), false);
+  Network.run(seconds(2));
+  CHECK(Network.storedJobs() == 10);
+  CHECK(Network.isFull(vmName(0)));
+  Network.endAnyJob(vmName(0));
+  Network.run(seconds(1));
+  CHECK_FALSE(Network.isFull(vmName(0)));
+}
+
 // Guards against lost task progress, against two VMs that run the same job and
 // against a finished job that runs again, under crashes, lost disks, network
 // partitions and lost messages.
--- a/src/jobstore/tests/jobstorenetwork.h
+++ b/src/jobstore/tests/jobstorenetwork.h
@@ -51,6 +51,10 @@
   std::size_t keptJobs(const std::string &Name) const {
     return Vms.at(Name).Writer->jobCount();
   }
+  /// Returns true if the writer of the VM takes no further job.
+  bool isFull(const std::string &Name) const {
+    return Vms.at(Name).Writer->isFull();
+  }
   /// Jobs that the VM may run now.
   std::vector<std::string> running(const std::string &Name) const;
   /// Progress of a job that the VM runs.
--- a/src/jobstore/types/jobstoremessage.h
+++ b/src/jobstore/types/jobstoremessage.h
@@ -173,6 +173,8 @@
   uint64_t RunNumber = 0;
   RunOutcome Outcome = RunOutcome::Other;
 
+  auto operator<=>(const RunEndNotice &) const = default;
+
   template <typename Archive> void serialize(Archive &Ar) {
     Ar(Task, RunNumber, Outcome);
   }
