Count acknowledgements of stored jobs for the partition that was written

What callers would see: a task that runs twice, if a control VM ends right after a takeover; not seen.

Cause: a reply to a write names the partition and the version. The writer compared the version with the job's present ones, also if a takeover had moved the job to another partition since, whose versions are counted anew. The job then counted as stored under the new ballot, and ran, before any copy had the run numbers that the takeover had set apart. The check was there for conflicts only. Found while looking for numbers whose giver is not compared.

Test: jobstore_tests, "a reply on another partition of the job does not count" (failed before: the job was reported as stored).

--- a/src/jobstore/internal/jobwriter.cpp
+++ b/src/jobstore/internal/jobwriter.cpp
@@ -160,7 +160,7 @@
   for (const CopyIdentity &Copy : Reply.Copies)
     updateCopyId(Copy);
   for (const StoredVersion &Stored : Reply.Stored)
-    handleAcknowledgement(Sender, Stored, Now);
+    handleAcknowledgement(Sender, Reply.Ownership.Partition, Stored, Now);
   for (const std::string &Id : Reply.MissingSubmissions)
     if (const auto It = Jobs.find(Id); It != Jobs.end()) {
       It->second.AckedVersions.erase(Sender);
@@ -185,10 +185,13 @@
 }
 
 void JobWriter::handleAcknowledgement(const std::string &Sender,
+                                      const std::string &WrittenPartition,
                                       const StoredVersion &Stored,
                                       Instant Now) {
   const auto JobIt = Jobs.find(Stored.Id);
-  if (JobIt == Jobs.end())
+  // The versions of a job that a takeover has moved to another partition since
+  // this write are counted anew.
+  if (JobIt == Jobs.end() || JobIt->second.Partition != WrittenPartition)
     return;
   OwnedJob &Job = JobIt->second;
   Job.ConflictingCopies.erase(Sender);
--- a/src/jobstore/jobwriter.h
+++ b/src/jobstore/jobwriter.h
@@ -155,6 +155,7 @@
   void sendEnds(const std::string &Address, const std::string &Partition,
                 const std::vector<JobWrite> &Writes);
   void handleAcknowledgement(const std::string &Sender,
+                             const std::string &WrittenPartition,
                              const StoredVersion &Stored, Instant Now);
   void handleDurable(const std::string &Id, OwnedJob &Job, Instant Now);
   /// Keeps only what copies need to know of a job whose end is durable.
--- a/src/jobstore/tests/jobstore_test.cpp
+++ b/src/jobstore/tests/jobstore_test.cpp
@@ -239,6 +239,48 @@
   CHECK_FALSE(Network.isFull(vmName(0)));
 }
 
+// Guards against a job that runs before its takeover is stored: a late reply on
+// the partition that the job had before counted as one on its new partition,
+// whose versions are counted anew.
+TEST_CASE("a reply on another partition of the job does not count") {
+  constexpr Duration Delay = milliseconds(10);
+  const std::string Partition = writerName("v9:1", 7) + "/1";
+  JobWriterLimits Limits;
+  Limits.TakeoverDelay = Delay;
+  JobWriter Writer(Limits, "v0:1", 1);
+  Writer.setVoters({1, {"v0:1", "v1:1", "v2:1"}});
+  Writer.setCopies({"v0:1", "v1:1", "v2:1"});
+  JobSubmission Job;
+  Job.Id = "j1";
+  Job.Stored = true;
+  Job.Steps.emplace_back();
+  Instant Now = instantAt(seconds(100));
+  Writer.create(Job, Now);
+  const PartitionOwnership OwnPartition{writerName("v0:1", 1) + "/1", {}};
+  // Another writer has had the job committed to its partition.
+  Writer.claim(Partition, {}, Now);
+  JobRecord Record;
+  Record.Submission = Job;
+  Record.Version = 1;
+  Record.Partition = Partition;
+  Record.Committed = true;
+  const Ballot Claimed{1, Writer.name()};
+  for (const std::string Voter : {"v1:1", "v2:1"})
+    Writer.receive(
+        Voter,
+        PartitionClaimed{{Partition, Claimed}, Claimed, {{Voter, 5}}, {Record}},
+        Now);
+  Now += Delay;
+  Writer.tick(Now);
+  REQUIRE(Writer.version("j1") == 2);
+  Writer.takeEffects();
+  for (const std::string Voter : {"v1:1", "v2:1"})
+    Writer.receive(
+        Voter, JobsWritten{OwnPartition, {}, {{Voter, 5}}, {{"j1", 1}}, {}, {}},
+        Now);
+  CHECK(Writer.takeEffects().empty());
+}
+
 // Guards against lost task progress, against two VMs that run the same job and
 // against a finished job that runs again, under crashes, lost disks, network
 // partitions and lost messages.
