Keep a request that is resumed once

A job that an entry VM resumed after each loss of the link got one more request each time, and as many answers in the end. The first answer ended the request at the entry VM, the others were ignored.

--- a/src/dispatch/internal/dispatcherjobs.cpp
+++ b/src/dispatch/internal/dispatcherjobs.cpp
@@ -68,10 +68,11 @@
   const auto JobIt = Jobs.find(JobId);
   if (JobIt == Jobs.end())
     return false;
+  std::vector<JobSource> &Sources = JobIt->second.Sources;
   if (JobIt->second.Request.Stored)
     answer(Source, JobId, JobResult::Accepted, JobReason::None);
-  else
-    JobIt->second.Sources.push_back(Source);
+  else if (std::ranges::find(Sources, Source) == Sources.end())
+    Sources.push_back(Source);
   return true;
 }
 
--- a/src/dispatch/tests/dispatcher_test.cpp
+++ b/src/dispatch/tests/dispatcher_test.cpp
@@ -273,6 +273,18 @@
   CHECK(Simulation.starts("b0") == 1);
 }
 
+// Guards against requests that add up while a link breaks again and again, and
+// against two answers to one of them.
+TEST_CASE("a request that is resumed repeatedly is answered once") {
+  FakeBackends Simulation(17);
+  prepare(Simulation, 1);
+  const uint64_t Request = Simulation.submit("d1", makeSimpleJob("j1", 1, 100));
+  for (int Resume = 0; Resume < 5; ++Resume)
+    Simulation.dispatcher("d1").resume("j1", {EntryProcess, Request});
+  Simulation.run(milliseconds(500));
+  CHECK(Simulation.findAnswers("j1").size() == 1);
+}
+
 // Guards against a task that uses up its attempts on one faulty backend server.
 TEST_CASE("a failed task waits for another backend server") {
   FakeBackends Simulation(18);
