Send answers to entry VMs by the number of the request alone

It keeps the layout of earlier releases with an empty name in the place of the entry VM's, so answers between VMs of two releases can still be read.

--- a/src/cluster/internal/dispatchservice.cpp
+++ b/src/cluster/internal/dispatchservice.cpp
@@ -227,7 +227,7 @@
               {"target", Answer.Target},
               {"entry", Answer.Recipient.Process.Name},
               {"request", std::to_string(Answer.Recipient.Request)}});
-  Bus.send(Answer.Recipient.Process, Answer);
+  Bus.send(Answer.Recipient.Process, toMessage(Answer));
 }
 
 void DispatchService::perform(const OwnershipChanged &Change) {
--- a/src/cluster/internal/entrynode.cpp
+++ b/src/cluster/internal/entrynode.cpp
@@ -180,8 +180,8 @@
 
 void EntryNode::handleMessage(const VmId &Sender,
                               const ClusterMessage &Message) {
-  if (const auto *Answer = std::get_if<JobAnswer>(&Message))
-    handleAnswer(Sender, *Answer);
+  if (const auto *Answer = std::get_if<JobAnswered>(&Message))
+    handleAnswer(Sender, toAnswer(*Answer, Bus.self()));
   else if (const auto *Heartbeat = std::get_if<ClusterHeartbeat>(&Message))
     handleHeartbeat(Sender, *Heartbeat);
   else if (const auto *Register = std::get_if<RegisterMessage>(&Message)) {
--- a/src/cluster/tests/controlnode_test.cpp
+++ b/src/cluster/tests/controlnode_test.cpp
@@ -395,7 +395,7 @@
       Vms.loop().runOnce(true);
     Former.send(SubmitJob{1, 0, false, makeStoredJob("0123456789abcdef")});
     waitForPendingJobs(Vms, Former, 0);
-    REQUIRE(Former.count<JobAnswer>() == 0);
+    REQUIRE(Former.count<JobAnswered>() == 0);
   }
   LinkedPeer Successor(Vms.loop(), "e1", MemberRole::Entry, 2);
   while (Successor.count<ClusterHeartbeat>() == 0)
@@ -404,7 +404,7 @@
   Vms.startVm(1, Seeds, true);
   Vms.startVm(2, Seeds, true);
   waitForPendingJobs(Vms, Successor, 1);
-  CHECK(Successor.count<JobAnswer>() == 0);
+  CHECK(Successor.count<JobAnswered>() == 0);
 }
 
 namespace {
--- a/src/cluster/tests/entrynode_test.cpp
+++ b/src/cluster/tests/entrynode_test.cpp
@@ -70,12 +70,13 @@
       if (RedirectTarget.empty() || Job->Redirects > 0)
         Jobs.push_back(*Job);
       else
-        send(Sender, JobAnswer{{Sender, Job->Request},
-                               Job->Job.Id,
-                               JobResult::NotRun,
-                               JobReason::Redirected,
-                               0,
-                               RedirectTarget});
+        send(Sender, JobAnswered{{},
+                                 Job->Request,
+                                 Job->Job.Id,
+                                 JobResult::NotRun,
+                                 JobReason::Redirected,
+                                 0,
+                                 RedirectTarget});
     }
   }
 
--- a/src/cluster/types/clustermessage.h
+++ b/src/cluster/types/clustermessage.h
@@ -49,6 +49,40 @@
   }
 };
 
+/// Answer to a request for a job, as JobAnswer. It names the request by its
+/// number only, like all messages: a link belongs to one process of a VM.
+struct JobAnswered {
+  /// Not used; earlier releases send the name of the entry VM.
+  std::string EntryVm;
+  uint64_t Request = 0;
+  std::string JobId;
+  JobResult Result = JobResult::NotRun;
+  JobReason Reason = JobReason::None;
+  int64_t RetryAfterMs = 0;
+  std::string Target;
+
+  template <typename Archive> void serialize(Archive &Ar) {
+    Ar(EntryVm, Request, JobId, Result, Reason, RetryAfterMs, Target);
+  }
+};
+
+/// Returns the message for the process that gets \p Answer.
+inline JobAnswered toMessage(const JobAnswer &Answer) {
+  return {{},
+          Answer.Recipient.Request,
+          Answer.JobId,
+          Answer.Result,
+          Answer.Reason,
+          Answer.RetryAfterMs,
+          Answer.Target};
+}
+
+/// Returns the answer in a message that the process \p Self has received.
+inline JobAnswer toAnswer(const JobAnswered &Message, const VmId &Self) {
+  return {{Self, Message.Request}, Message.JobId,        Message.Result,
+          Message.Reason,          Message.RetryAfterMs, Message.Target};
+}
+
 /// Withdraws a request for a job that is not stored, because its caller does
 /// not wait any more. The job ends unless other requests for it are open.
 struct WithdrawJob {
@@ -127,7 +161,7 @@
 };
 
 using ClusterMessage =
-    std::variant<ClusterHeartbeat, SubmitJob, JobAnswer, JobQuery,
+    std::variant<ClusterHeartbeat, SubmitJob, JobAnswered, JobQuery,
                  JobQueryAnswer, PendingJobsQuery, PendingJobsAnswer,
                  BackendReports, OwnershipUpdate, RegisterMessage,
                  JobStoreMessage, WithdrawJob>;
--- a/src/dispatch/types/dispatcheffect.h
+++ b/src/dispatch/types/dispatcheffect.h
@@ -22,10 +22,6 @@
   uint64_t Request = 0;
 
   auto operator<=>(const JobSource &) const = default;
-
-  template <typename Archive> void serialize(Archive &Ar) {
-    Ar(Process, Request);
-  }
 };
 
 enum class JobResult : uint8_t {
@@ -73,10 +69,6 @@
   /// With Redirected: VM to which the job has to be sent, to whichever process
   /// it has then.
   std::string Target;
-
-  template <typename Archive> void serialize(Archive &Ar) {
-    Ar(Recipient, JobId, Result, Reason, RetryAfterMs, Target);
-  }
 };
 
 /// What the dispatcher assumes about a backend server when it decides, for the
