--- a/src/cluster/tests/entrynode_test.cpp
+++ b/src/cluster/tests/entrynode_test.cpp
@@ -11,6 +11,7 @@
 #include <optional>
 #include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 using namespace sapphiremoor;
@@ -20,6 +21,21 @@
 
 constexpr const char *TestClusterKey = "0123456789abcdef";
 
+/// The answer to an entry VM as earlier releases send it.
+struct EarlierAnswer {
+  std::pair<std::string, uint64_t> Recipient;
+  std::string JobId;
+  JobResult Result = JobResult::NotRun;
+  JobReason Reason = JobReason::None;
+  int64_t RetryAfterMs = 0;
+  std::string Target;
+
+  template <typename Archive> void serialize(Archive &Ar) {
+    Ar(Recipient.first, Recipient.second, JobId, Result, Reason, RetryAfterMs,
+       Target);
+  }
+};
+
 /// A control VM without a store: it knows the configuration and its voters,
 /// answers that it does not know any job, and keeps the jobs it is handed
 /// without an answer.
@@ -174,6 +190,28 @@
 
 } // namespace
 
+// Guards against jobs without an answer while the VMs of a deployment are
+// exchanged one after the other: the answer has the layout of earlier releases.
+TEST_CASE("an answer of an earlier release is read") {
+  const EarlierAnswer Earlier{{"e1", 7},
+                              "0123456789abcdef",
+                              JobResult::NotRun,
+                              JobReason::Redirected,
+                              5,
+                              "c1"};
+  const Result<JobAnswered> Decoded = decode<JobAnswered>(encode(Earlier));
+  REQUIRE_FALSE(isError(Decoded));
+  const JobAnswer Answer = toAnswer(valueOf(Decoded), {"e1", 3});
+  CHECK(Answer.Recipient == JobSource{{"e1", 3}, 7});
+  CHECK(Answer.JobId == Earlier.JobId);
+  CHECK(Answer.Reason == JobReason::Redirected);
+  CHECK(Answer.RetryAfterMs == 5);
+  CHECK(Answer.Target == "c1");
+  JobAnswered Sent = toMessage(Answer);
+  Sent.EntryVm = "e1";
+  CHECK(encode(Sent) == encode(Earlier));
+}
+
 // Guards against an accepted job that is reported as unknown: an entry VM that
 // has just started had heard one control VM, which had no copy of the job.
 TEST_CASE(
